--- /dev/null
+++ b/deploy/entry.py
@@ -0,0 +1,13 @@
+"""Starts the entry's daemon from a checkout, without an installation."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / 'src'))
+
+from marjoramwharf.programs.platform_entry import main  # noqa: E402
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/marjoramwharf/cells/intake.py
@@ -0,0 +1,213 @@
+"""What callers may ask of any entry: submit, status, cancel and count.
+
+A job is accepted once its request is stored, whoever owns the cell. Its state
+comes from the owner, and from the store while the owner can't be reached.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from marjoramwharf.cells import records
+from marjoramwharf.cells.owner_link import CellSource, OwnerLink
+from marjoramwharf.cells.records import CellId, ProgressRecord
+from marjoramwharf.cells.status import ShownState
+from marjoramwharf.errors import Failure, StoreAnswerLost, StoreUnavailable
+from marjoramwharf.ids import JobId
+from marjoramwharf.links.store import (
+    Committed,
+    Conflict,
+    Guard,
+    PollingStore,
+    StoredValue,
+    Write,
+)
+from marjoramwharf.logs import part_logger
+from marjoramwharf.scheduling.job_state import JobPhase
+from marjoramwharf.scheduling.workload import JobRequest
+
+_LOG = part_logger('intake')
+_RETRY_PAUSE_S = 0.05
+
+_SHOWN = {
+    JobPhase.DONE: ShownState.DONE,
+    JobPhase.FAILED: ShownState.FAILED,
+    JobPhase.CANCELLED: ShownState.CANCELLED,
+}
+
+
+@enum.unique
+class Submission(enum.Enum):
+    """What became of a submission.
+
+    ``REFUSED`` is a proof that the job was not stored and never will be by
+    this request. After ``UNKNOWN`` it may be stored.
+    """
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(slots=True)
+class Intake:
+    """The callers' side of a cell at one entry."""
+
+    store: PollingStore
+    cell: CellId
+    owner: OwnerLink
+    local: CellSource
+    _known: dict[JobId, int] = field(default_factory=dict)
+
+    async def submit(
+        self,
+        request: JobRequest,
+        *,
+        deadline_s: float,
+    ) -> Submission:
+        """Store a job; a repeat of a known one is accepted again."""
+        key = records.request_key(self.cell, request.job_id)
+        write = Write(key, records.encode(request))
+        is_unknown = False
+        while True:
+            try:
+                outcome = await self.store.commit([Guard(key, 0)], [write])
+            except StoreAnswerLost as lost:
+                _LOG.info(
+                    'submission without an answer',
+                    job=request.job_id,
+                    error=str(lost),
+                )
+                is_unknown = True
+            except Failure as failure:
+                if not is_unknown:
+                    _LOG.info(
+                        'submission refused',
+                        job=request.job_id,
+                        error=str(failure),
+                    )
+                    return Submission.REFUSED
+            else:
+                self._note(request, outcome)
+                return Submission.ACCEPTED
+            if trio.current_time() + _RETRY_PAUSE_S >= deadline_s:
+                return Submission.UNKNOWN
+            await trio.sleep(_RETRY_PAUSE_S)
+
+    async def status(self, job_id: JobId) -> ShownState | None:
+        """Return the state of a job, ``None`` if no such job is stored.
+
+        Raises ``StoreUnavailable`` if neither the owner nor the store answers.
+        """
+        shown = await self._ask_owner(job_id)
+        return await self._read_status(job_id) if shown is None else shown
+
+    async def cancel(self, job_id: JobId) -> bool:
+        """Cancel a job once that is stored; tell whether it is known.
+
+        Raises ``StoreUnavailable`` or ``StoreAnswerLost``; the caller may
+        repeat the call.
+        """
+        revision = await self._revision_of(job_id)
+        if revision is None:
+            return False
+        cancel = records.cancel_key(self.cell, job_id)
+        outcome = await self.store.commit(
+            [
+                Guard(records.request_key(self.cell, job_id), revision),
+                Guard(cancel, 0),
+            ],
+            [Write(cancel, b'1')],
+        )
+        if isinstance(outcome, Committed):
+            _LOG.info('cancel stored', job=job_id, revision=outcome.revision)
+            return True
+        return any(stored.key == cancel for stored in outcome.found)
+
+    async def waiting_count(self, queue: str) -> int:
+        """Return the accepted jobs of a queue that have not begun.
+
+        Raises a ``Failure`` if the owner can't be asked.
+        """
+        cell = self.local()
+        if cell is not None and cell.is_loaded:
+            return cell.waiting_count(queue)
+        return await self.owner.waiting_count(queue)
+
+    def _note(
+        self,
+        request: JobRequest,
+        outcome: Committed | Conflict,
+    ) -> None:
+        is_new = isinstance(outcome, Committed)
+        _LOG.info('job accepted', job=request.job_id, is_new=is_new)
+
+    async def _ask_owner(self, job_id: JobId) -> ShownState | None:
+        cell = self.local()
+        if cell is not None and cell.is_loaded:
+            return cell.status(job_id)
+        try:
+            return await self.owner.status(job_id)
+        except Failure as failure:
+            _LOG.debug('owner not asked', job=job_id, error=str(failure))
+            return None
+
+    async def _read_status(self, job_id: JobId) -> ShownState | None:
+        stored = await self.store.read(
+            records.request_key(self.cell, job_id),
+        )
+        if stored is None:
+            return None
+        progress = await self.store.read(
+            records.progress_key(self.cell, job_id),
+        )
+        cancelled = await self.store.read(
+            records.cancel_key(self.cell, job_id),
+        )
+        return _shown(progress, is_cancelled=cancelled is not None)
+
+    async def _revision_of(self, job_id: JobId) -> int | None:
+        stored = await self.store.read(
+            records.request_key(self.cell, job_id),
+        )
+        return None if stored is None else stored.mod_revision
+
+
+async def with_retries(
+    call: Callable[[], Awaitable[bool]],
+    *,
+    deadline_s: float,
+) -> bool:
+    """Repeat an idempotent call until it is answered or time is up."""
+    while True:
+        try:
+            return await call()
+        except (StoreUnavailable, StoreAnswerLost):
+            if trio.current_time() + _RETRY_PAUSE_S >= deadline_s:
+                raise
+        await trio.sleep(_RETRY_PAUSE_S)
+
+
+def _shown(
+    progress: StoredValue | None,
+    *,
+    is_cancelled: bool,
+) -> ShownState:
+    if progress is None:
+        record = ProgressRecord(JobPhase.OPEN)
+    else:
+        record = records.decode(
+            progress.body,
+            ProgressRecord,
+            key=progress.key,
+        )
+    final = _SHOWN.get(record.phase)
+    if final is not None:
+        return final
+    if is_cancelled:
+        return ShownState.CANCELLED
+    return ShownState.RUNNING if record.has_begun else ShownState.QUEUED
--- /dev/null
+++ b/src/marjoramwharf/cells/owner_link.py
@@ -0,0 +1,112 @@
+"""Calls of an entry to the owner of a cell, and the owner's answers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+import trio
+
+from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.ownership import KnownOwner, OwnerView
+from marjoramwharf.cells.records import CellId
+from marjoramwharf.cells.status import ShownState
+from marjoramwharf.errors import NotOwner, PeerUnreachable
+from marjoramwharf.ids import JobId
+from marjoramwharf.links.peer_client import PeerClient
+from marjoramwharf.links.peer_messages import Message, PeerIdentity
+from marjoramwharf.links.thrift_types.peer import ttypes
+
+_STATUS = 'status'
+_WAITING = 'waiting'
+_FOUND = 200
+_UNKNOWN = 404
+
+CellSource = Callable[[], Cell | None]
+
+
+@dataclass(slots=True)
+class OwnerLink:
+    """Keeps a connection to whoever owns the cell.
+
+    The methods raise ``PeerUnreachable`` or ``PeerRefused``; the caller then
+    reads the store.
+    """
+
+    view: OwnerView
+    cell: CellId
+    identity: PeerIdentity
+    timeout_s: float
+    _client: PeerClient | None = None
+    _known: KnownOwner | None = None
+
+    async def run(self) -> None:
+        """Follow the owner until cancelled."""
+        while True:
+            known = self.view.owners.get(self.cell)
+            async with trio.open_nursery() as nursery:
+                if known is not None and not self._is_self(known):
+                    self._client = self._connect(known)
+                    nursery.start_soon(self._client.run)
+                while self.view.owners.get(self.cell) == known:
+                    await self.view.wait_change()
+                self._client = None
+                nursery.cancel_scope.cancel()
+
+    async def status(self, job_id: JobId) -> ShownState | None:
+        """Return the state of a job, ``None`` if the owner knows none."""
+        reply = await self._call(_STATUS, job_id)
+        if reply.status == _UNKNOWN:
+            return None
+        return ShownState(reply.body.decode())
+
+    async def waiting_count(self, queue: str) -> int:
+        """Return the accepted jobs of a queue that have not begun."""
+        reply = await self._call(_WAITING, queue)
+        return int(reply.body)
+
+    async def _call(self, method: str, argument: str) -> Message:
+        client = self._client
+        if client is None:
+            raise PeerUnreachable(message='the cell has no other owner')
+        return await client.call(
+            ttypes.JobCall(
+                method=method,
+                shard=self.cell,
+                body=argument.encode(),
+            ),
+            timeout_s=self.timeout_s,
+        )
+
+    def _is_self(self, known: KnownOwner) -> bool:
+        return known.record.entry_id == self.identity.entry_id
+
+    def _connect(self, known: KnownOwner) -> PeerClient:
+        record = known.record
+        return PeerClient(
+            partial(trio.open_tcp_stream, record.host, record.port),
+            identity=self.identity,
+            secret=record.secret,
+            rng=random.Random(),
+        )
+
+
+async def answer_job_call(
+    source: CellSource,
+    _sender: PeerIdentity,
+    call: Message,
+) -> Message:
+    """Answer a call of an entry; raises ``NotOwner`` if the cell is not ours."""
+    cell = source()
+    if cell is None or not cell.is_loaded or cell.cell_id != call.shard:
+        raise NotOwner(message=f'cell {call.shard} is not owned here')
+    argument = call.body.decode()
+    if call.method == _WAITING:
+        count = cell.waiting_count(argument)
+        return ttypes.JobReply(status=_FOUND, body=str(count).encode())
+    state = cell.status(JobId(argument))
+    if state is None:
+        return ttypes.JobReply(status=_UNKNOWN, body=b'')
+    return ttypes.JobReply(status=_FOUND, body=state.value.encode())
--- /dev/null
+++ b/src/marjoramwharf/cells/records.py
@@ -0,0 +1,198 @@
+"""Keys and values of a cell in the store.
+
+A job's request is written once, by the entry that accepts it. Its progress is
+written by the owner of the cell only, before the owner acts on it.
+
+    >>> progress_key(CellId(0), JobId('5c0e7a21d94b36f8'))
+    'mw/0/run/5c0e7a21d94b36f8'
+"""
+
+from __future__ import annotations
+
+from typing import NewType, TypeVar
+
+import msgspec
+from msgspec import Struct
+
+from marjoramwharf.errors import JournalDamaged
+from marjoramwharf.ids import JobId, WorkerId
+from marjoramwharf.scheduling.job_state import (
+    Job,
+    JobPhase,
+    Run,
+    RunPhase,
+    Task,
+)
+from marjoramwharf.scheduling.workload import JobRequest
+
+CellId = NewType('CellId', int)
+
+OWNERS_PREFIX = 'mw/own/'
+
+_Model = TypeVar('_Model')
+
+
+class OwnerRecord(Struct, frozen=True, array_like=True):
+    """The entry that owns a cell, and where it takes messages of peers."""
+
+    entry_id: str
+    host: str
+    port: int
+    secret: str
+
+
+class RunRecord(Struct, frozen=True, array_like=True):
+    """A run that may be at work; ``born_ms`` is its worker's incarnation."""
+
+    number: int
+    worker_id: str
+    born_ms: int
+    has_started: bool = False
+
+
+class TaskRecord(Struct, frozen=True, array_like=True):
+    """A task that has been started at least once."""
+
+    occurrence: int
+    step: int
+    index: int
+    is_done: bool = False
+    last_run: int = 0
+    failures_count: int = 0
+    checkpoint: str = ''
+    runs: tuple[RunRecord, ...] = ()
+
+
+class ProgressRecord(Struct, frozen=True, array_like=True):
+    """How far a job has come."""
+
+    phase: JobPhase
+    has_begun: bool = False
+    next_occurrence: int = 0
+    open_occurrences: tuple[int, ...] = ()
+    tasks: tuple[TaskRecord, ...] = ()
+
+
+def owner_key(cell: CellId) -> str:
+    """Key of the leased record that names the owner of a cell."""
+    return f'{OWNERS_PREFIX}{cell}'
+
+
+def inbox_prefix(cell: CellId) -> str:
+    """Prefix of what entries write for the owner of a cell."""
+    return f'mw/{cell}/in/'
+
+
+def request_key(cell: CellId, job_id: JobId) -> str:
+    """Key of a job's request."""
+    return f'{inbox_prefix(cell)}job/{job_id}'
+
+
+def cancel_key(cell: CellId, job_id: JobId) -> str:
+    """Key that exists once a job was cancelled."""
+    return f'{inbox_prefix(cell)}cancel/{job_id}'
+
+
+def progress_prefix(cell: CellId) -> str:
+    """Prefix of the progress of all jobs of a cell."""
+    return f'mw/{cell}/run/'
+
+
+def progress_key(cell: CellId, job_id: JobId) -> str:
+    """Key of a job's progress."""
+    return f'{progress_prefix(cell)}{job_id}'
+
+
+def encode(record: Struct) -> bytes:
+    """Return the stored form of a record."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode(raw: bytes, model: type[_Model], *, key: str) -> _Model:
+    """Return the record of a stored value; raises ``JournalDamaged``."""
+    try:
+        return msgspec.msgpack.decode(raw, type=model)
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as failure:
+        raise JournalDamaged(message=f'{key}: {failure}') from failure
+
+
+def progress_of(job: Job) -> ProgressRecord:
+    """Return what has to be stored of a job."""
+    return ProgressRecord(
+        phase=job.phase,
+        has_begun=job.has_begun,
+        next_occurrence=job.next_occurrence,
+        open_occurrences=tuple(job.occurrences),
+        tasks=tuple(
+            _task_record(task) for task in job.tasks() if task.last_run
+        ),
+    )
+
+
+def restore_job(
+    request: JobRequest,
+    progress: ProgressRecord | None,
+    *,
+    revision: int,
+    now_s: float,
+) -> Job:
+    """Return a job as its record says; its runs are ``UNCERTAIN``."""
+    job = Job(request, learned_s=now_s, finished_s=now_s)
+    if progress is None:
+        if not request.repeat_count:
+            job.open_occurrence(0)
+        return job
+    job.phase = progress.phase
+    job.shown_phase = progress.phase
+    job.has_begun = progress.has_begun
+    job.stored_revision = revision
+    for number in progress.open_occurrences:
+        job.open_occurrence(number)
+    job.next_occurrence = progress.next_occurrence
+    for record in progress.tasks:
+        task = job.find(record.occurrence, record.step, record.index)
+        if task is not None:
+            _restore_task(task, record, now_s)
+    return job
+
+
+def _task_record(task: Task) -> TaskRecord:
+    step = task.step
+    return TaskRecord(
+        occurrence=step.occurrence.number,
+        step=step.number,
+        index=task.index,
+        is_done=task.is_done,
+        last_run=task.last_run,
+        failures_count=task.failures_count,
+        checkpoint=task.checkpoint,
+        runs=tuple(
+            RunRecord(
+                run.number,
+                run.worker_id,
+                run.born_ms,
+                run.started_s is not None,
+            )
+            for run in task.runs.values()
+        ),
+    )
+
+
+def _restore_task(task: Task, record: TaskRecord, now_s: float) -> None:
+    task.is_done = record.is_done
+    task.step.done_count += record.is_done
+    task.last_run = record.last_run
+    task.failures_count = record.failures_count
+    task.checkpoint = record.checkpoint
+    task.has_begun = bool(record.last_run)
+    for stored in record.runs:
+        task.runs[stored.number] = Run(
+            task=task,
+            number=stored.number,
+            worker_id=WorkerId(stored.worker_id),
+            born_ms=stored.born_ms,
+            phase=RunPhase.UNCERTAIN,
+            placed_s=now_s,
+            moved_s=now_s,
+            saved=record.checkpoint,
+        )
--- /dev/null
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -0,0 +1,434 @@
+"""The connection of a cell's owner to one worker.
+
+One task holds the worker: it extends the leases of all runs there, reads what
+runs and what ended, and notes the ends that are stored. Orders to start, stop
+or pace a run are sent by tasks of their own until their outcome is known.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import trio
+
+from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.worker_clock import WorkerClock
+from marjoramwharf.cells.worker_messages import (
+    EndReport,
+    HoldOrder,
+    HoldReport,
+    OrderAnswer,
+    OrderOutcome,
+    PaceOrder,
+    RunReport,
+    StartOrder,
+    StopOrder,
+    WorkerAddress,
+    WorkerCalls,
+)
+from marjoramwharf.ids import TaskId
+from marjoramwharf.logs import part_logger
+from marjoramwharf.scheduling.fleet import Worker
+from marjoramwharf.scheduling.job_book import job_of
+from marjoramwharf.scheduling.job_state import Job, Run, RunEnd, RunPhase
+
+_LOG = part_logger('worker')
+
+# How long a worker with runs, and one without, is asked to wait for an end.
+_BUSY_WAIT_MS = 1_000
+_IDLE_WAIT_MS = 2_000
+
+# The answer of a hold may come this much after its wait is over.
+_HOLD_SLACK_S = 1.0
+_UNREACHABLE_PAUSE_S = 0.2
+
+# An end that is not stored by then is returned by the worker again.
+_NOTE_WAIT_S = 0.4
+
+_ORDER_TIMEOUT_S = 0.5
+_ORDER_PAUSE_S = 0.1
+_START_ATTEMPTS = 4
+_UNHEALTHY_PAUSE_S = 0.5
+_FULL_PAUSE_S = 0.1
+
+# An order without an answer may be carried out until this much later.
+_LATE_ORDER_S = 13.0
+
+
+class LinkOwner(Protocol):
+    """What a link tells the owner of its cell."""
+
+    def run_started(self, run: Run) -> None:
+        """A worker has begun a run."""
+
+    def run_ended(self, run: Run, how: RunEnd, saved: str) -> Job:
+        """A run has ended; returns the job whose progress tells of it."""
+
+    def find_run(self, task: TaskId, number: int) -> Run | None:
+        """Return a live run."""
+
+    def superseded(self) -> None:
+        """A worker has seen the fence of another owner."""
+
+    def looked(self, link: WorkerLink) -> None:
+        """A look at the worker was taken in."""
+
+    def may_hold(self) -> bool:
+        """Whether this entry may still extend leases."""
+
+
+@dataclass(slots=True, eq=False)
+class WorkerLink:
+    """Holds one worker for the owner of its cell.
+
+    ``hold_ms`` is the length of a lease. ``noted_end`` is the last end that
+    is stored, and ``taken_end`` the last that was taken in.
+    """
+
+    worker: Worker
+    calls: WorkerCalls
+    owner: LinkOwner
+    fence: int
+    hold_ms: int
+    stop_ms: int
+    clock: WorkerClock = field(default_factory=WorkerClock)
+    noted_end: int = 0
+    taken_end: int = 0
+    looks_count: int = 0
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    _unnoted: deque[tuple[int, Job | None, int]] = field(
+        default_factory=deque,
+    )
+    _noted: trio.Event = field(default_factory=trio.Event)
+    _strays: dict[tuple[TaskId, int], float] = field(default_factory=dict)
+
+    @property
+    def address(self) -> WorkerAddress:
+        """Where the worker listens."""
+        listing = self.worker.listing
+        return WorkerAddress(listing.worker_id, listing.host, listing.port)
+
+    async def run(self) -> None:
+        """Hold the worker until cancelled."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    await self._hold_once(nursery)
+
+    def note_stored(self) -> None:
+        """Let the worker forget the ends that are stored by now."""
+        while self._unnoted:
+            number, job, version = self._unnoted[0]
+            if job is not None and job.stored_version < version:
+                return
+            self.noted_end = number
+            self._unnoted.popleft()
+        self._noted.set()
+
+    async def start(self, run: Run) -> None:
+        """Order a run until its outcome is known."""
+        if run.phase is not RunPhase.PLANNED:
+            return
+        run.phase = RunPhase.ORDERED
+        for _ in range(_START_ATTEMPTS):
+            answer = await self._send_start(run)
+            if run.phase is not RunPhase.ORDERED:
+                return
+            if answer.outcome is not OrderOutcome.UNKNOWN:
+                break
+            run.is_doubtful = True
+        if answer.outcome is OrderOutcome.ACCEPTED:
+            self.owner.run_started(run)
+        elif answer.outcome is OrderOutcome.FENCED:
+            self.owner.superseded()
+        else:
+            await self._refused(run, answer.outcome)
+
+    async def stop(self, run: Run) -> None:
+        """Stop a run; the worker then refuses it for good."""
+        if run.phase is RunPhase.PLANNED:
+            self.owner.run_ended(run, RunEnd.VANISHED, '')
+            return
+        if run.phase in {RunPhase.STOPPING, RunPhase.ENDED}:
+            return
+        run.phase = RunPhase.STOPPING
+        order = StopOrder(run.task.name, run.number, self.fence)
+        while self.owner.find_run(run.task.name, run.number) is run:
+            answer = await self.calls.stop(
+                self.address,
+                order,
+                timeout_s=_ORDER_TIMEOUT_S,
+            )
+            self._read_clock(answer)
+            if answer.outcome is OrderOutcome.FENCED:
+                self.owner.superseded()
+                return
+            if answer.outcome in _STOP_SETTLED:
+                run.stop_answered_s = boot_s()
+                return
+            await trio.sleep(_ORDER_PAUSE_S)
+
+    async def pace(self, run: Run, percent: int) -> None:
+        """Let a run work at a share of its speed; one attempt."""
+        order = PaceOrder(run.task.name, run.number, percent, self.fence)
+        answer = await self.calls.pace(
+            self.address,
+            order,
+            timeout_s=_ORDER_TIMEOUT_S,
+        )
+        if answer.outcome is not OrderOutcome.ACCEPTED:
+            # The next look decides anew, from the pace that is not in force.
+            run.pace_percent = 100
+
+    async def _send_start(self, run: Run) -> OrderAnswer:
+        now_s = boot_s()
+        expires_ms = self.clock.grant(self.hold_ms, now_s=now_s)
+        if expires_ms is None:
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        answer = await self.calls.start(
+            self.address,
+            StartOrder(
+                task=run.task.name,
+                run=run.number,
+                payload=job_of(run.task).request.payload,
+                expires_ms=expires_ms,
+                fence=self.fence,
+                checkpoint=run.task.checkpoint,
+                ticket=run.ticket,
+            ),
+            timeout_s=_ORDER_TIMEOUT_S,
+        )
+        self._read_clock(answer)
+        return answer
+
+    async def _refused(self, run: Run, outcome: OrderOutcome) -> None:
+        _LOG.info(
+            'start refused',
+            task=run.task.name,
+            run=run.number,
+            worker=self.worker.worker_id,
+            outcome=outcome.value,
+        )
+        now_s = boot_s()
+        if outcome is OrderOutcome.NO_ROOM:
+            self.worker.not_before_s = now_s + _FULL_PAUSE_S
+        else:
+            self.worker.not_before_s = now_s + _UNHEALTHY_PAUSE_S
+        if run.is_doubtful:
+            await self.stop(run)
+        else:
+            self.owner.run_ended(run, RunEnd.VANISHED, '')
+
+    async def _hold_once(self, nursery: trio.Nursery) -> None:
+        if not self.owner.may_hold():
+            await trio.sleep(_UNREACHABLE_PAUSE_S)
+            return
+        sent_s = boot_s()
+        wait_ms = self._wait_ms()
+        report = await self.calls.hold(
+            self.address,
+            HoldOrder(
+                fence=self.fence,
+                noted_end=self.noted_end,
+                expires_ms=self.clock.grant(self.hold_ms, now_s=sent_s),
+                wait_ms=wait_ms,
+            ),
+            timeout_s=wait_ms / 1_000 + _HOLD_SLACK_S,
+        )
+        self.looks_count += 1
+        if report.outcome is OrderOutcome.ACCEPTED:
+            self._take_in(report, sent_s, nursery)
+            self.owner.looked(self)
+            await self._wait_for_notes()
+        elif report.outcome is OrderOutcome.FENCED:
+            self.owner.superseded()
+            await trio.sleep(_UNREACHABLE_PAUSE_S)
+        else:
+            self._unreachable(report.outcome)
+            await trio.sleep(_UNREACHABLE_PAUSE_S)
+
+    def _wait_ms(self) -> int:
+        if self.clock.reading_ms is None or not self.worker.is_reachable:
+            return 0
+        return _BUSY_WAIT_MS if self.worker.runs else _IDLE_WAIT_MS
+
+    async def _wait_for_notes(self) -> None:
+        if not self._unnoted:
+            return
+        self._noted = trio.Event()
+        with trio.move_on_after(_NOTE_WAIT_S):
+            await self._noted.wait()
+
+    def _unreachable(self, outcome: OrderOutcome) -> None:
+        now_s = boot_s()
+        if self.worker.is_reachable:
+            _LOG.warning(
+                'worker lost',
+                worker=self.worker.worker_id,
+                outcome=outcome.value,
+            )
+        self.worker.is_reachable = False
+        gone = outcome is OrderOutcome.OTHER_WORKER
+        if gone or self.clock.has_lapsed(now_s=now_s):
+            self._drop_runs()
+
+    def _drop_runs(self) -> None:
+        """End the runs of a worker on which nothing can run any more."""
+        for run in tuple(self.worker.runs):
+            self.owner.run_ended(run, RunEnd.VANISHED, run.saved)
+
+    def _read_clock(self, answer: OrderAnswer) -> None:
+        if answer.clock_ms is not None and self.clock.reading_ms is not None:
+            self.clock.note(answer.clock_ms, now_s=boot_s())
+
+    def _take_in(
+        self,
+        report: HoldReport,
+        sent_s: float,
+        nursery: trio.Nursery,
+    ) -> None:
+        now_s = boot_s()
+        self._recognise(report, now_s, nursery)
+        if not self.worker.is_reachable:
+            _LOG.info('worker reached', worker=self.worker.worker_id)
+        self.worker.is_reachable = True
+        for ended in report.ended:
+            self._take_end(ended)
+        self.note_stored()
+        for row in report.running:
+            self._take_running(row, now_s, nursery)
+        present = {(row.task, row.run) for row in report.running}
+        for run in tuple(self.worker.runs):
+            if (run.task.name, run.number) not in present:
+                self._take_absence(run, sent_s)
+
+    def _recognise(
+        self,
+        report: HoldReport,
+        now_s: float,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Notice another incarnation under the same id."""
+        clock_ms = report.clock_ms or 0
+        known = self.worker.born_ms
+        goes_on = self.clock.note(clock_ms, now_s=now_s)
+        self.worker.born_ms = report.born_ms
+        if known in {0, report.born_ms} and goes_on:
+            return
+        _LOG.warning(
+            'worker restarted',
+            worker=self.worker.worker_id,
+            born_ms=report.born_ms,
+        )
+        self.clock.restart(clock_ms, now_s=now_s)
+        self.noted_end = 0
+        self.taken_end = 0
+        self._unnoted.clear()
+        present = {(row.task, row.run) for row in report.running}
+        for run in tuple(self.worker.runs):
+            if (run.task.name, run.number) not in present:
+                self._lose(run, now_s, nursery)
+
+    def _lose(self, run: Run, now_s: float, nursery: trio.Nursery) -> None:
+        """End a run of a former incarnation.
+
+        A late order could still start it at the new one, so a run whose order
+        had no answer is stopped there first.
+        """
+        if run.phase is RunPhase.PLANNED:
+            return
+        if run.is_doubtful and now_s - run.placed_s < _LATE_ORDER_S:
+            run.phase = RunPhase.ORDERED
+            run.stop_answered_s = None
+            nursery.start_soon(self.stop, run)
+        else:
+            self.owner.run_ended(run, RunEnd.VANISHED, '')
+
+    def _take_end(self, ended: EndReport) -> None:
+        if ended.number <= self.taken_end:
+            return
+        self.taken_end = ended.number
+        run = self.owner.find_run(ended.task, ended.run)
+        if run is None or run.worker_id != self.worker.worker_id:
+            self._unnoted.append((ended.number, None, 0))
+            return
+        job = self.owner.run_ended(run, ended.how, ended.saved)
+        self._unnoted.append((ended.number, job, job.version))
+
+    def _take_running(
+        self,
+        row: RunReport,
+        now_s: float,
+        nursery: trio.Nursery,
+    ) -> None:
+        run = self.owner.find_run(row.task, row.run)
+        if run is None or run.worker_id != self.worker.worker_id:
+            self._stop_stray(row, now_s, nursery)
+            return
+        if run.phase in {RunPhase.ORDERED, RunPhase.UNCERTAIN}:
+            self.owner.run_started(run)
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.moved_s = now_s
+        run.reading = row.reading
+        run.saved = row.saved or run.saved
+
+    def _stop_stray(
+        self,
+        row: RunReport,
+        now_s: float,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Stop a run that the cell knows nothing of."""
+        key = (row.task, row.run)
+        if now_s - self._strays.get(key, 0) < 1:
+            return
+        self._strays[key] = now_s
+        _LOG.warning(
+            'stray run',
+            task=row.task,
+            run=row.run,
+            worker=self.worker.worker_id,
+        )
+        nursery.start_soon(self._send_stray_stop, row)
+
+    async def _send_stray_stop(self, row: RunReport) -> None:
+        await self.calls.stop(
+            self.address,
+            StopOrder(row.task, row.run, self.fence),
+            timeout_s=_ORDER_TIMEOUT_S,
+        )
+
+    def _take_absence(self, run: Run, sent_s: float) -> None:
+        """End a run that neither runs nor ended at the time of a look."""
+        if not _is_over(run, sent_s, self.stop_ms):
+            return
+        if run.phase is RunPhase.RUNNING:
+            _LOG.warning('run vanished', task=run.task.name, run=run.number)
+        self.owner.run_ended(run, RunEnd.VANISHED, run.saved)
+
+
+# Outcomes after which a stopped run can't start at the worker any more.
+_STOP_SETTLED = frozenset(
+    (
+        OrderOutcome.ACCEPTED,
+        OrderOutcome.RUN_TOO_OLD,
+        OrderOutcome.OTHER_WORKER,
+        OrderOutcome.BAD_ORDER,
+    ),
+)
+
+
+def _is_over(run: Run, sent_s: float, stop_ms: int) -> bool:
+    if run.phase is RunPhase.UNCERTAIN:
+        return True
+    if run.phase is RunPhase.RUNNING:
+        return run.started_s is not None and run.started_s < sent_s
+    if run.phase is RunPhase.STOPPING and run.stop_answered_s is not None:
+        return run.stop_answered_s + stop_ms / 1_000 < sent_s
+    return False
+
+
--- a/src/marjoramwharf/errors.py
+++ b/src/marjoramwharf/errors.py
@@ -33,6 +33,8 @@
     STORE_ANSWER_LOST = 'store_answer_lost'
     STORE_BUDGET = 'store_budget'
     STORE_REFUSED = 'store_refused'
+    HISTORY_LOST = 'history_lost'
+    LEASE_ENDED = 'lease_ended'
     ENTRY_REPLACED = 'entry_replaced'
     DIRECTORY_UNAVAILABLE = 'directory_unavailable'
     BAD_LISTING = 'bad_listing'
@@ -105,6 +107,18 @@
     reason = Reason.STORE_ANSWER_LOST
 
 
+class HistoryLost(Failure):
+    """The store no longer has the changes after the asked revision."""
+
+    reason = Reason.HISTORY_LOST
+
+
+class LeaseEnded(Failure):
+    """The lease of a write has ended; nothing was applied."""
+
+    reason = Reason.LEASE_ENDED
+
+
 class StoreBudgetSpent(Failure):
     """The call was shed to stay within the rates of the store."""
 
@@ -183,6 +197,12 @@
     reason = Reason.KEY_REUSED
 
 
+class BadJob(Failure):
+    """A submitted job is malformed."""
+
+    reason = Reason.BAD_REQUEST
+
+
 class UnknownJob(Failure):
     """No job has this id, or it was dropped after its retention time."""
 
--- /dev/null
+++ b/src/marjoramwharf/links/http_client.py
@@ -0,0 +1,227 @@
+"""A small HTTP/1.1 client on h11 and trio with kept connections.
+
+A general client costs an entry about three times as much for a call, which
+matters on instances with less than half a core.
+
+    client = LeanClient()
+    answer = await client.request(
+        'GET', 'http://10.0.0.7:8169/health', timeout_s=1
+    )
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from urllib.parse import urlsplit
+
+import h11
+import trio
+
+_CHUNK_BYTES = 65_536
+_DEFAULT_PORT = 80
+
+# A connection that was idle for longer is not used again: the other side may
+# have closed it, or it may have gone silent without a reset.
+_MAX_IDLE_S = 8.0
+
+Address = tuple[str, int]
+
+# Errors of a connect that prove that nothing listens at the address.
+_REFUSED = frozenset((errno.ECONNREFUSED, errno.ECONNRESET))
+
+
+class CallFailed(Exception):
+    """A request got no whole answer; the server may have acted on it."""
+
+
+class NotConnected(CallFailed):
+    """No connection could be opened; the request was not sent."""
+
+
+class _Stale(CallFailed):
+    """A kept connection ended before the first byte of an answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is 200 to 299."""
+        return 200 <= self.status < 300
+
+
+@dataclass(slots=True)
+class _Connection:
+    """One connection and the state of its protocol."""
+
+    stream: trio.SocketStream
+    protocol: h11.Connection
+    idle_since_s: float = 0
+    answers_count: int = 0
+
+
+@dataclass(slots=True)
+class LeanClient:
+    """Keeps idle connections by address."""
+
+    connect_timeout_s: float = 2
+    opened_count: int = 0
+    _idle: dict[Address, list[_Connection]] = field(default_factory=dict)
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b'',
+        timeout_s: float,
+    ) -> Answer:
+        """Send a request and return the whole answer.
+
+        A request on a kept connection that ends without a byte of an answer
+        is sent once more on a new one, so requests have to be idempotent.
+        Raises ``NotConnected`` if nothing was sent, else ``CallFailed``.
+        """
+        parts = urlsplit(url)
+        address = (parts.hostname or '', parts.port or _DEFAULT_PORT)
+        sent = h11.Request(
+            method=method,
+            target=url.removeprefix(f'{parts.scheme}://{parts.netloc}'),
+            headers=[
+                ('Host', parts.netloc),
+                ('Content-Length', str(len(body))),
+                *(headers or {}).items(),
+            ],
+        )
+        with trio.move_on_after(timeout_s):
+            try:
+                return await self._attempt(address, sent, body, fresh=False)
+            except _Stale:
+                return await self._attempt(address, sent, body, fresh=True)
+        raise CallFailed(f'no answer within {timeout_s} s')
+
+    async def drop(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            await trio.aclose_forcefully(connection.stream)
+
+    async def _attempt(
+        self,
+        address: Address,
+        sent: h11.Request,
+        body: bytes,
+        *,
+        fresh: bool,
+    ) -> Answer:
+        connection = await self._take(address, fresh=fresh)
+        try:
+            answer = await _exchange(connection, sent, body)
+        except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+            await trio.aclose_forcefully(connection.stream)
+            raise _failure_of(connection, error) from error
+        except trio.Cancelled:
+            await trio.aclose_forcefully(connection.stream)
+            raise
+        await self._keep(address, connection)
+        return answer
+
+    async def _take(self, address: Address, *, fresh: bool) -> _Connection:
+        idle = self._idle.setdefault(address, [])
+        oldest_s = trio.current_time() - _MAX_IDLE_S
+        while idle:
+            connection = idle.pop()
+            if connection.idle_since_s >= oldest_s and not fresh:
+                return connection
+            await trio.aclose_forcefully(connection.stream)
+        return await self._open(address)
+
+    async def _open(self, address: Address) -> _Connection:
+        opened = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            with trio.fail_after(self.connect_timeout_s):
+                await opened.connect(address)
+        except (OSError, trio.TooSlowError) as failure:
+            opened.close()
+            raise NotConnected(f'{address[0]}: {failure!r}') from failure
+        except trio.Cancelled:
+            opened.close()
+            raise
+        self.opened_count += 1
+        return _Connection(
+            trio.SocketStream(opened),
+            h11.Connection(h11.CLIENT),
+        )
+
+    async def _keep(self, address: Address, connection: _Connection) -> None:
+        protocol = connection.protocol
+        if {protocol.our_state, protocol.their_state} == {h11.DONE}:
+            protocol.start_next_cycle()
+            connection.idle_since_s = trio.current_time()
+            connection.answers_count += 1
+            self._idle.setdefault(address, []).append(connection)
+        else:
+            await trio.aclose_forcefully(connection.stream)
+
+
+def is_refused(failure: CallFailed) -> bool:
+    """Tell whether the address answered that nothing listens there."""
+    cause = failure.__cause__
+    return isinstance(cause, OSError) and cause.errno in _REFUSED
+
+
+def _failure_of(connection: _Connection, error: Exception) -> CallFailed:
+    waiting = connection.protocol.their_state is h11.SEND_RESPONSE
+    untouched = waiting and not connection.protocol.trailing_data[0]
+    if connection.answers_count and untouched:
+        return _Stale(repr(error))
+    return CallFailed(repr(error))
+
+
+async def _exchange(
+    connection: _Connection,
+    sent: h11.Request,
+    body: bytes,
+) -> Answer:
+    protocol = connection.protocol
+    head = protocol.send(sent) or b''
+    rest = protocol.send(h11.Data(data=body)) or b'' if body else b''
+    end = protocol.send(h11.EndOfMessage()) or b''
+    await connection.stream.send_all(head + rest + end)
+    return await _read(connection)
+
+
+async def _read(connection: _Connection) -> Answer:
+    status = 0
+    headers: dict[str, str] = {}
+    body = bytearray()
+    while True:
+        event = connection.protocol.next_event()
+        if event is h11.NEED_DATA:
+            chunk = await connection.stream.receive_some(_CHUNK_BYTES)
+            connection.protocol.receive_data(chunk)
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = _decoded(event)
+        elif isinstance(event, h11.Data):
+            body.extend(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return Answer(status, headers, bytes(body))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError('closed before the answer')
+
+
+def _decoded(response: h11.Response) -> dict[str, str]:
+    return {
+        name.decode(): content.decode('latin-1')
+        for name, content in response.headers
+    }
--- /dev/null
+++ b/src/marjoramwharf/links/http_server.py
@@ -0,0 +1,229 @@
+"""A small HTTP/1.1 server on h11 and trio, one task for each connection.
+
+    server = HttpServer(handle)
+    await server.serve(listener)
+
+``handle`` turns an ``HttpRequest`` into an ``HttpReply``. During a graceful
+shutdown the server closes idle connections and ends each busy one after its
+answer.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+from marjoramwharf.logs import part_logger
+
+_LOG = part_logger('http')
+_CHUNK_BYTES = 65_536
+_BACKLOG_COUNT = 512
+
+HeaderMap = Mapping[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: HeaderMap
+    body: bytes
+    arrived_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A whole answer with a body of one content type."""
+
+    status: int
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = 'application/json'
+
+
+@dataclass(slots=True)
+class HttpLimits:
+    """What a connection may send, and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_s: float = 5
+    idle_timeout_s: float = 30
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
+
+
+class _Refused(Exception):
+    """A request broke a limit; the connection ends after the answer."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f'status {status}')
+        self.status = status
+
+
+@dataclass(slots=True)
+class HttpServer:
+    """Serves connections until its listener is closed.
+
+    ``limits`` may be replaced at any time and holds for later requests.
+    """
+
+    handle: Handler
+    limits: HttpLimits = field(default_factory=HttpLimits)
+    is_draining: bool = False
+    busy_count: int = 0
+    _idle_scopes: set[trio.CancelScope] = field(default_factory=set)
+
+    async def serve(self, listener: trio.SocketListener) -> None:
+        """Accept connections until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                stream = await listener.accept()
+                nursery.start_soon(self.serve_stream, stream)
+
+    def drain(self) -> None:
+        """Close idle connections; busy ones end after their answer."""
+        self.is_draining = True
+        for scope in tuple(self._idle_scopes):
+            scope.cancel()
+
+    async def serve_stream(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection to its end."""
+        protocol = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self.limits.header_bytes,
+        )
+        try:
+            while await self._serve_request(stream, protocol):
+                protocol.start_next_cycle()
+        except (OSError, trio.BrokenResourceError, h11.ProtocolError) as end:
+            _LOG.debug('connection ended', error=repr(end))
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_request(
+        self,
+        stream: trio.abc.Stream,
+        protocol: h11.Connection,
+    ) -> bool:
+        """Serve one request; tell whether the connection stays open."""
+        try:
+            request = await self._read(stream, protocol)
+        except _Refused as refusal:
+            await _send(stream, protocol, HttpReply(refusal.status), last=True)
+            return False
+        if request is None:
+            return False
+        self.busy_count += 1
+        try:
+            reply = await self.handle(request)
+            await _send(stream, protocol, reply, last=self.is_draining)
+        finally:
+            self.busy_count -= 1
+        states = {protocol.our_state, protocol.their_state}
+        return states == {h11.DONE} and not self.is_draining
+
+    async def _read(
+        self,
+        stream: trio.abc.Stream,
+        protocol: h11.Connection,
+    ) -> HttpRequest | None:
+        head = await self._read_head(stream, protocol)
+        if head is None:
+            return None
+        body = bytearray()
+        with trio.move_on_after(self.limits.header_timeout_s):
+            while True:
+                event = protocol.next_event()
+                if event is h11.NEED_DATA:
+                    protocol.receive_data(
+                        await stream.receive_some(_CHUNK_BYTES),
+                    )
+                elif isinstance(event, h11.Data):
+                    body.extend(event.data)
+                    if len(body) > self.limits.body_bytes:
+                        raise _Refused(413)
+                elif isinstance(event, h11.EndOfMessage):
+                    return HttpRequest(
+                        method=head.method.decode('ascii'),
+                        target=head.target.decode('latin-1'),
+                        headers={
+                            name.decode(): text.decode('latin-1')
+                            for name, text in head.headers
+                        },
+                        body=bytes(body),
+                        arrived_s=trio.current_time(),
+                    )
+                else:
+                    return None
+        raise _Refused(408)
+
+    async def _read_head(
+        self,
+        stream: trio.abc.Stream,
+        protocol: h11.Connection,
+    ) -> h11.Request | None:
+        if self.is_draining and not protocol.trailing_data[0]:
+            return None
+        scope = trio.CancelScope(
+            deadline=trio.current_time() + self.limits.idle_timeout_s,
+        )
+        with scope:
+            while True:
+                event = protocol.next_event()
+                if isinstance(event, h11.Request):
+                    return event
+                if event is not h11.NEED_DATA:
+                    return None
+                self._mark_idle(scope, protocol)
+                chunk = await stream.receive_some(_CHUNK_BYTES)
+                self._idle_scopes.discard(scope)
+                protocol.receive_data(chunk)
+        self._idle_scopes.discard(scope)
+        return None
+
+    def _mark_idle(
+        self,
+        scope: trio.CancelScope,
+        protocol: h11.Connection,
+    ) -> None:
+        if not protocol.trailing_data[0]:
+            self._idle_scopes.add(scope)
+
+
+async def open_listener(host: str, port: int) -> trio.SocketListener:
+    """Listen at an address; raises ``OSError`` if it is taken."""
+    opened = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    await opened.bind((host, port))
+    opened.listen(_BACKLOG_COUNT)
+    return trio.SocketListener(opened)
+
+
+async def _send(
+    stream: trio.abc.Stream,
+    protocol: h11.Connection,
+    reply: HttpReply,
+    *,
+    last: bool,
+) -> None:
+    headers = [
+        ('Content-Type', reply.content_type),
+        ('Content-Length', str(len(reply.body))),
+        *reply.headers,
+    ]
+    if last:
+        headers.append(('Connection', 'close'))
+    head = protocol.send(
+        h11.Response(status_code=reply.status, headers=headers),
+    )
+    rest = protocol.send(h11.Data(data=reply.body)) if reply.body else b''
+    end = protocol.send(h11.EndOfMessage())
+    await stream.send_all((head or b'') + (rest or b'') + (end or b''))
--- a/src/marjoramwharf/links/store.py
+++ b/src/marjoramwharf/links/store.py
@@ -66,7 +66,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """A guard did not hold; nothing was applied."""
+    """A guard did not hold; nothing was applied.
+
+    ``found`` are the guarded keys that exist, where the store tells them.
+    """
+
+    found: tuple[StoredValue, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,3 +146,44 @@
         from_revision: int,
     ) -> AbstractAsyncContextManager[AsyncIterator[WatchBatch]]:
         """Follow the changes below a prefix, across cuts of the connection."""
+
+
+class PollingStore(Protocol):
+    """A store whose changes are read by waiting calls.
+
+    The methods raise the failures of :class:`Store`.
+    """
+
+    async def read(self, key: str) -> StoredValue | None:
+        """Return the value of a key, or ``None`` if it does not exist."""
+
+    async def read_prefix(self, prefix: str) -> PrefixReading:
+        """Return all keys below a prefix, with the revision to watch from."""
+
+    async def commit(
+        self,
+        guards: Sequence[Guard],
+        writes: Sequence[Write],
+    ) -> Committed | Conflict:
+        """Apply all writes in one call if all guards hold."""
+
+    async def grant_lease(self, ttl_ms: int) -> LeaseId:
+        """Create a lease that lapses when it is not kept alive."""
+
+    async def keep_alive(self, lease: LeaseId) -> bool:
+        """Extend a lease; tell whether it still exists."""
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease and delete the keys attached to it."""
+
+    async def poll(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_ms: int,
+    ) -> WatchBatch:
+        """Return the changes after a revision, empty when the wait is over.
+
+        Raises ``HistoryLost`` when the store no longer has that history.
+        """
--- /dev/null
+++ b/src/marjoramwharf/platform/job_bodies.py
@@ -0,0 +1,128 @@
+"""Bodies of the callers' requests for jobs, and of the answers."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import DecodeError, Meta, Struct
+
+from marjoramwharf.cells.status import ShownState
+from marjoramwharf.errors import BadJob
+from marjoramwharf.ids import JobId
+from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.scheduling.policy import QueuePolicy
+from marjoramwharf.scheduling.workload import JobRequest, StepRequest
+
+_MAX_TASKS = 5_000
+_MAX_STEPS = 64
+
+_Size = Annotated[int, Meta(ge=0, le=2_000_000_000)]
+
+_STATES = {
+    ShownState.QUEUED: b'{"State":"queued"}',
+    ShownState.RUNNING: b'{"State":"running"}',
+    ShownState.DONE: b'{"State":"completed"}',
+    ShownState.FAILED: b'{"State":"failed"}',
+    ShownState.CANCELLED: b'{"State":"cancelled"}',
+}
+
+
+class _Step(Struct, frozen=True, rename='pascal'):
+    """``Cpu`` is in thousandths of a core, ``Requirements`` one label.
+
+    ``Fills`` steps take what others leave unused; ``TargetMs`` is the tail
+    latency that a lasting task has to keep.
+    """
+
+    count: Annotated[int, Meta(ge=1, le=_MAX_TASKS)]
+    cpu: _Size = 0
+    mem_mb: _Size = 0
+    gpu: _Size = 0
+    estimate_ms: _Size = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str | None = None
+    data_rack: str | None = None
+    anti_affinity: _Size = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str | None = None
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: _Size = 0
+
+
+class _Job(Struct, frozen=True, rename='pascal'):
+    """``InitialMs`` is the Unix time at which the first occurrence is due."""
+
+    steps: Annotated[
+        tuple[_Step, ...],
+        Meta(min_length=1, max_length=_MAX_STEPS),
+    ]
+    task_spec: str = ''
+    repeat_count: _Size = 0
+    initial_ms: int = 0
+    interval_ms: int = 0
+
+
+def decode_job(
+    raw: bytes,
+    *,
+    job_id: JobId,
+    queue: QueuePolicy,
+    now_ms: int,
+) -> JobRequest:
+    """Return the request of a body; raises ``BadJob``."""
+    try:
+        job = decode_json(raw, _Job)
+    except DecodeError as failure:
+        raise BadJob(message=f'unreadable job: {failure}') from failure
+    for number, step in enumerate(job.steps):
+        if any(not 0 <= before < number for before in step.after):
+            raise BadJob(message=f'step {number} comes after a later step')
+    return JobRequest(
+        job_id=job_id,
+        queue=queue.name,
+        service=queue.service,
+        payload=job.task_spec,
+        steps=tuple(_step(step) for step in job.steps),
+        accepted_at_ms=now_ms,
+        repeat_count=job.repeat_count,
+        first_due_ms=job.initial_ms,
+        interval_ms=job.interval_ms,
+    )
+
+
+def encode_state(state: ShownState) -> bytes:
+    """Return the body that tells a job's state."""
+    return _STATES[state]
+
+
+def encode_waiting(count: int) -> bytes:
+    """Return the body that tells how many jobs have not begun."""
+    return b'{"Waiting":%d}' % count
+
+
+def _step(step: _Step) -> StepRequest:
+    return StepRequest(
+        count=step.count,
+        cpu_millicores=step.cpu,
+        memory_mb=step.mem_mb,
+        accelerators_count=step.gpu,
+        estimate_ms=step.estimate_ms,
+        after=step.after,
+        has_checkpoints=step.checkpointing,
+        is_gang=step.gang,
+        needs_one_rack=step.same_rack,
+        required_label=step.requirements or '',
+        data_rack=step.data_rack or '',
+        per_worker_limit=step.anti_affinity,
+        may_duplicate=step.allow_duplicates,
+        is_lasting=step.long_running,
+        image=step.image or '',
+        target_tail_ms=round(step.target_ms),
+        fills=step.fills,
+        may_miss_count=step.may_miss,
+    )
--- /dev/null
+++ b/src/marjoramwharf/platform/kv_store.py
@@ -0,0 +1,279 @@
+"""The platform's metadata store: one HTTP call for each method.
+
+Values travel as base64 text. ``CurrentRev`` is the revision of the whole
+store, and ``Revision`` that of an item's latest change.
+"""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+from collections.abc import Sequence
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+from msgspec import Struct, field
+
+from marjoramwharf.errors import (
+    HistoryLost,
+    LeaseEnded,
+    StoreAnswerLost,
+    StoreRefused,
+    StoreUnavailable,
+)
+from marjoramwharf.ids import LeaseId
+from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.links.http_client import (
+    Answer,
+    CallFailed,
+    LeanClient,
+    NotConnected,
+)
+from marjoramwharf.links.store import (
+    Committed,
+    Conflict,
+    Guard,
+    PrefixReading,
+    StoredValue,
+    StoreEvent,
+    WatchBatch,
+    Write,
+)
+
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_CONDITION_FAILED = 412
+_NOTHING_DONE = frozenset((429, 503))
+
+# The answer of a waiting call may come this much after its wait is over.
+_WAIT_SLACK_S = 1.0
+
+_Model = TypeVar('_Model')
+
+
+class _Item(Struct, frozen=True, rename='pascal'):
+    """``Created`` and ``Revision`` are revisions of the store."""
+
+    key: str
+    value: str = ''
+    revision: int = 0
+    created: int = 0
+    deleted: bool = False
+
+
+class _Page(Struct, frozen=True):
+    items: tuple[_Item, ...] = ()
+    has_more: bool = field(default=False, name='HasMore')
+    current_revision: int = field(default=0, name='CurrentRev')
+
+
+class _Changes(Struct, frozen=True):
+    events: tuple[_Item, ...] = ()
+    current_revision: int = field(default=0, name='CurrentRev')
+
+
+class _Expected(Struct, frozen=True, rename='pascal'):
+    key: str
+    revision: int
+
+
+class _Put(Struct, frozen=True, rename='pascal'):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _Transaction(Struct, frozen=True, rename='pascal'):
+    expect: tuple[_Expected, ...]
+    puts: tuple[_Put, ...]
+    remove: tuple[str, ...]
+
+
+class _Applied(Struct, frozen=True, rename='pascal'):
+    revision: int
+
+
+class _Granted(Struct, frozen=True, rename='pascal'):
+    """``Lease`` is the id of a new lease."""
+
+    lease: int
+
+
+class _GrantWish(Struct, frozen=True, rename='pascal'):
+    ttl_ms: int
+
+
+class KvStore:
+    """The store at one address; implements ``links.store.PollingStore``."""
+
+    def __init__(
+        self,
+        client: LeanClient,
+        address: str,
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Use ``host:port`` as the store; nothing is connected yet."""
+        self._client = client
+        self._base = f'http://{address}'
+        self._timeout_s = timeout_s
+
+    async def read(self, key: str) -> StoredValue | None:
+        """Return the value of a key, or ``None`` if it does not exist."""
+        answer = await self._get(f'/kv-key?Key={quote(key, safe="")}')
+        if answer.status == _NOT_FOUND:
+            return None
+        return _stored(_decoded(answer, _Item))
+
+    async def read_prefix(self, prefix: str) -> PrefixReading:
+        """Return all keys below a prefix, page by page.
+
+        The revision is that of the first page, since pages are no snapshot.
+        """
+        found: list[StoredValue] = []
+        revision: int | None = None
+        after = ''
+        while True:
+            path = f'/kv-range?Prefix={quote(prefix, safe="")}{after}'
+            page = _decoded(await self._get(path), _Page)
+            found.extend(_stored(entry) for entry in page.items)
+            if revision is None:
+                revision = page.current_revision
+            if not page.has_more or not page.items:
+                return PrefixReading(revision, tuple(found))
+            after = f'&After={quote(page.items[-1].key, safe="")}'
+
+    async def commit(
+        self,
+        guards: Sequence[Guard],
+        writes: Sequence[Write],
+    ) -> Committed | Conflict:
+        """Apply all writes in one call if all guards hold."""
+        body = _Transaction(
+            expect=tuple(
+                _Expected(guard.key, guard.mod_revision) for guard in guards
+            ),
+            puts=tuple(
+                _Put(
+                    write.key,
+                    b64encode(write.body).decode('ascii'),
+                    write.lease or 0,
+                )
+                for write in writes
+                if write.body is not None
+            ),
+            remove=tuple(write.key for write in writes if write.body is None),
+        )
+        answer = await self._post('/kv-txn', body)
+        if answer.status == _CONDITION_FAILED:
+            page = _decoded(answer, _Page)
+            return Conflict(tuple(_stored(entry) for entry in page.items))
+        if answer.status == _NOT_FOUND:
+            raise LeaseEnded(message='the lease of a write has ended')
+        return Committed(_decoded(answer, _Applied).revision)
+
+    async def grant_lease(self, ttl_ms: int) -> LeaseId:
+        """Create a lease that lapses when it is not kept alive."""
+        answer = await self._post('/kv-lease', _GrantWish(ttl_ms))
+        return LeaseId(_decoded(answer, _Granted).lease)
+
+    async def keep_alive(self, lease: LeaseId) -> bool:
+        """Extend a lease; tell whether it still exists."""
+        answer = await self._post(f'/kv-keep/{lease}', None)
+        return _exists(answer)
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease and delete the keys attached to it."""
+        answer = await self._write('DELETE', f'/kv-lease-end/{lease}', b'')
+        _exists(answer)
+
+    async def poll(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_ms: int,
+    ) -> WatchBatch:
+        """Return the changes after a revision, empty when the wait is over."""
+        path = (
+            f'/kv-watch?Prefix={quote(prefix, safe="")}'
+            f'&After={after_revision}&WaitMs={wait_ms}'
+        )
+        answer = await self._get(path, wait_s=wait_ms / 1_000 + _WAIT_SLACK_S)
+        if answer.status == _GONE:
+            raise HistoryLost(message=f'no changes after {after_revision}')
+        changes = _decoded(answer, _Changes)
+        events = tuple(
+            StoreEvent(
+                entry.key,
+                None if entry.deleted else _stored(entry),
+            )
+            for entry in changes.events
+        )
+        revision = max(after_revision, changes.current_revision)
+        return WatchBatch(revision, events)
+
+    async def _get(self, path: str, *, wait_s: float = 0) -> Answer:
+        try:
+            answer = await self._client.request(
+                'GET',
+                self._base + path,
+                timeout_s=max(self._timeout_s, wait_s),
+            )
+        except CallFailed as failure:
+            raise StoreUnavailable(message=str(failure)) from failure
+        _check_done(answer)
+        return answer
+
+    async def _post(self, path: str, body: Struct | None) -> Answer:
+        sent = b'{}' if body is None else msgspec.json.encode(body)
+        return await self._write('POST', path, sent)
+
+    async def _write(self, method: str, path: str, body: bytes) -> Answer:
+        try:
+            answer = await self._client.request(
+                method,
+                self._base + path,
+                headers={'Content-Type': 'application/json'},
+                body=body,
+                timeout_s=self._timeout_s,
+            )
+        except NotConnected as unsent:
+            raise StoreUnavailable(message=str(unsent)) from unsent
+        except CallFailed as failure:
+            raise StoreAnswerLost(message=str(failure)) from failure
+        _check_done(answer)
+        return answer
+
+
+def _check_done(answer: Answer) -> None:
+    if answer.status in _NOTHING_DONE:
+        raise StoreUnavailable(message=f'the store answered {answer.status}')
+
+
+def _exists(answer: Answer) -> bool:
+    if answer.status == _NOT_FOUND:
+        return False
+    _decoded(answer, msgspec.Raw)
+    return True
+
+
+def _decoded(answer: Answer, model: type[_Model]) -> _Model:
+    """Decode an answer of status 200 or 412; raises ``StoreRefused``."""
+    if answer.status not in {_OK, _CONDITION_FAILED}:
+        text = answer.body[:200].decode('utf-8', 'replace')
+        raise StoreRefused(message=f'status {answer.status}: {text}')
+    try:
+        return decode_json(answer.body or b'null', model)
+    except msgspec.DecodeError as failure:
+        raise StoreRefused(message=f'unreadable: {failure}') from failure
+
+
+def _stored(entry: _Item) -> StoredValue:
+    try:
+        body = b64decode(entry.value, validate=True)
+    except (Base64Error, ValueError) as failure:
+        raise StoreRefused(message=f'{entry.key}: {failure}') from failure
+    return StoredValue(entry.key, body, entry.revision, entry.created)
--- /dev/null
+++ b/src/marjoramwharf/platform/operator_config.py
@@ -0,0 +1,112 @@
+"""The operators' configuration as it lies in the store."""
+
+from __future__ import annotations
+
+from msgspec import DecodeError, Struct, field
+
+from marjoramwharf.errors import BadNote
+from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.scheduling.policy import (
+    AdvicePolicy,
+    Configuration,
+    QueuePolicy,
+    RequestLimits,
+    ServicePolicy,
+)
+
+CONFIG_KEY = 'op/config'
+
+
+class _Advice(Struct, frozen=True, rename='pascal'):
+    """``PeriodMs`` is the time for each worker that a call names."""
+
+    decision_ms: int = 0
+    period_ms: int = 0
+    valid_ms: int = 0
+
+
+class _Route(Struct, frozen=True, rename='pascal'):
+    """A queue; ``TargetLatencyMs`` is part of a job's objective."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: int = 3_000
+    target_latency_ms: int = 1_000
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1
+    advice: _Advice | None = None
+
+
+class _Service(Struct, frozen=True, rename='pascal'):
+    name: str
+    health_path: str = ''
+    rejects_overload: bool = False
+    spare: bool = False
+
+
+class _Limits(Struct, frozen=True, rename='pascal'):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 30_000
+
+
+class _Config(Struct, frozen=True, rename='pascal'):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = field(default_factory=_Limits)
+
+
+def decode_configuration(raw: bytes) -> Configuration:
+    """Return the configuration of a stored value; raises ``BadNote``."""
+    try:
+        config = decode_json(raw, _Config)
+    except DecodeError as failure:
+        raise BadNote(message=f'unreadable configuration: {failure}') from (
+            failure
+        )
+    return Configuration(
+        version=config.version,
+        queues={route.name: _queue(route) for route in config.routes},
+        services={
+            service.name: ServicePolicy(
+                name=service.name,
+                guards_capacity=service.rejects_overload,
+                is_spare=service.spare,
+                health_path=service.health_path,
+            )
+            for service in config.services
+        },
+        limits=RequestLimits(
+            header_bytes=config.limits.max_header_bytes,
+            body_bytes=config.limits.max_body_bytes,
+            header_timeout_ms=config.limits.header_timeout_ms,
+            idle_timeout_ms=config.limits.idle_timeout_ms,
+        ),
+    )
+
+
+def _queue(route: _Route) -> QueuePolicy:
+    advice = route.advice
+    return QueuePolicy(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        target_latency_ms=route.target_latency_ms,
+        timeout_ms=route.timeout_ms,
+        advice=None
+        if advice is None
+        else AdvicePolicy(
+            decision_ms=advice.decision_ms,
+            per_worker_ms=advice.period_ms,
+            valid_ms=advice.valid_ms,
+        ),
+    )
--- /dev/null
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -0,0 +1,266 @@
+"""The daemon of an entry instance on the users' platform.
+
+This module is the composition root: it reads the settings, wires the parts
+and runs them until it is told to stop.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+from dataclasses import dataclass, field
+from functools import partial
+
+import trio
+
+from marjoramwharf.cells.cell import Cell, CellParts
+from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.config_keeper import ConfigKeeper
+from marjoramwharf.cells.intake import Intake
+from marjoramwharf.cells.owner_link import OwnerLink, answer_job_call
+from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
+from marjoramwharf.cells.place import EntryPlace
+from marjoramwharf.cells.records import OWNERS_PREFIX, CellId, OwnerRecord
+from marjoramwharf.errors import BadSettings
+from marjoramwharf.ids import Incarnation, random_id
+from marjoramwharf.links.follower import Apply, Follower
+from marjoramwharf.links.http_client import LeanClient
+from marjoramwharf.links.http_server import (
+    HttpServer,
+    open_listener,
+)
+from marjoramwharf.links.peer_messages import PeerIdentity
+from marjoramwharf.links.peer_server import PeerServer
+from marjoramwharf.links.thrift_types.peer import ttypes
+from marjoramwharf.logs import configure_logs, part_logger
+from marjoramwharf.platform import boot
+from marjoramwharf.platform.front import Front, answer_ready
+from marjoramwharf.platform.kv_store import KvStore
+from marjoramwharf.platform.operator_config import (
+    CONFIG_KEY,
+    decode_configuration,
+)
+from marjoramwharf.platform.worker_calls import PlatformWorkerCalls
+from marjoramwharf.platform.worker_entries import (
+    WORKERS_PREFIX,
+    decode_listing,
+)
+
+_LOG = part_logger('main')
+_CELL = CellId(0)
+_CONFIG_PREFIX = 'op/'
+_MS_PER_S = 1_000
+
+# Longer than the store takes when it is fifty times slower than usual.
+_STORE_TIMEOUT_S = 1.2
+_RENEWAL_TIMEOUT_S = 0.7
+_OWNER_TIMEOUT_S = 0.3
+
+# The owner's lease: short, since nothing starts between two owners.
+_OWNER_TTL_MS = 2_000
+
+# The share of the longest lease that a run gets, so that it outlives a change
+# of owner.
+_HOLD_SHARE = 0.85
+
+# An owner whose lease can't be renewed extends the leases of runs for so long.
+_HOLD_AFTER_LAPSE_S = 2.5
+
+# The platform needs two looks, a second apart, to stop sending connections.
+_READINESS_GAP_S = 2.2
+_STOP_MARGIN_S = 1.0
+
+
+@dataclass(slots=True)
+class Entry:
+    """The parts of the process, wired."""
+
+    place: EntryPlace
+    secret: str = field(default_factory=random_id)
+    client: LeanClient = field(default_factory=LeanClient)
+    view: OwnerView = field(default_factory=OwnerView)
+    config: ConfigKeeper = field(
+        default_factory=partial(
+            ConfigKeeper,
+            CONFIG_KEY,
+            decode_configuration,
+        ),
+    )
+    cell: Cell | None = None
+    is_stopping: bool = False
+    store: KvStore = field(init=False)
+    front: HttpServer = field(init=False)
+    campaign: Campaign = field(init=False)
+    owner_link: OwnerLink = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Wire the parts."""
+        place = self.place
+        address = place.store_address
+        self.store = KvStore(
+            self.client,
+            address,
+            timeout_s=_STORE_TIMEOUT_S,
+        )
+        self.owner_link = OwnerLink(
+            view=self.view,
+            cell=_CELL,
+            identity=self.identity,
+            timeout_s=_OWNER_TIMEOUT_S,
+        )
+        self.campaign = Campaign(
+            store=KvStore(
+                LeanClient(connect_timeout_s=_RENEWAL_TIMEOUT_S),
+                address,
+                timeout_s=_RENEWAL_TIMEOUT_S,
+            ),
+            view=self.view,
+            cell=_CELL,
+            record=OwnerRecord(
+                entry_id=place.entry_id,
+                host=place.host,
+                port=place.peer_ports[0],
+                secret=self.secret,
+            ),
+            ttl_ms=max(_OWNER_TTL_MS, place.rates.shortest_ttl_ms),
+            cpu_share=place.cpu_share,
+            run_cell=self.run_cell,
+        )
+        intake = Intake(self.store, _CELL, self.owner_link, self.owned_cell)
+        handler = Front(intake, lambda: self.config.current)
+        self.front = HttpServer(handler.handle)
+
+    @property
+    def identity(self) -> PeerIdentity:
+        """How this process names itself to peers."""
+        return PeerIdentity(
+            entry_id=self.place.entry_id,
+            incarnation=Incarnation(self.secret[:8]),
+            data_centre=self.place.data_centre,
+        )
+
+    def owned_cell(self) -> Cell | None:
+        """Return the cell while this entry owns it."""
+        return self.cell
+
+    def is_ready(self) -> bool:
+        """Whether this entry takes callers."""
+        return self.config.current is not None and not self.is_stopping
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        place = self.place
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow, _CONFIG_PREFIX, self.config.apply)
+            nursery.start_soon(self._follow, OWNERS_PREFIX, self.view.apply)
+            nursery.start_soon(self.owner_link.run)
+            nursery.start_soon(self.campaign.run)
+            await self._listen(nursery)
+            _LOG.info(
+                'started',
+                entry=place.entry_id,
+                data_centre=place.data_centre,
+                cpu_share=place.cpu_share,
+            )
+            await self._wait_for_stop()
+            nursery.cancel_scope.cancel()
+        _LOG.info('stopped', entry=place.entry_id)
+
+    async def run_cell(self, tenure: Tenure) -> None:
+        """Own the cell until the tenure ends."""
+        cell = Cell(
+            cell_id=tenure.cell,
+            parts=CellParts(
+                store=self.store,
+                calls=PlatformWorkerCalls(self.client),
+                configuration=lambda: self.config.current,
+                workers_prefix=WORKERS_PREFIX,
+                decode_listing=decode_listing,
+                bounds=self.place.bounds,
+                hold_ms=round(self.place.bounds.max_hold_ms * _HOLD_SHARE),
+            ),
+            owner=tenure.guard,
+            is_current=lambda: tenure.is_current(boot_s()),
+            may_extend=lambda: tenure.is_current(
+                boot_s() - _HOLD_AFTER_LAPSE_S,
+            ),
+            on_superseded=tenure.scope.cancel,
+        )
+        self.cell = cell
+        try:
+            await cell.run()
+        finally:
+            self.cell = None
+
+    async def _follow(self, prefix: str, apply: Apply) -> None:
+        await Follower(self.store, prefix, apply).run()
+
+    async def _listen(self, nursery: trio.Nursery) -> None:
+        place = self.place
+        if place.front is not None:
+            listener = await open_listener(*place.front)
+            nursery.start_soon(self.front.serve, listener)
+        if place.ready is not None:
+            ready = HttpServer(partial(answer_ready, self.is_ready))
+            listener = await open_listener(*place.ready)
+            nursery.start_soon(ready.serve, listener)
+        peers = PeerServer(
+            {ttypes.JobCall: partial(answer_job_call, self.owned_cell)},
+            identity=self.identity,
+            secret=self.secret,
+        )
+        listener = await open_listener(place.host, place.peer_ports[0])
+        nursery.start_soon(_serve_peers, peers, listener)
+
+    async def _wait_for_stop(self) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM,
+            signal.SIGINT,
+            signal.SIGHUP,
+        ) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    _LOG.info('settings changed', effect='none until restart')
+                    continue
+                break
+        await self._stop()
+
+    async def _stop(self) -> None:
+        """Hand over, answer what is under way, then end."""
+        _LOG.info('stopping', entry=self.place.entry_id)
+        self.is_stopping = True
+        grace_s = self.place.bounds.grace_ms / _MS_PER_S - _STOP_MARGIN_S
+        deadline_s = trio.current_time() + grace_s
+        with trio.move_on_after(grace_s / 4):
+            if self.cell is not None:
+                await self.cell.hand_over()
+        await self.campaign.withdraw()
+        await trio.sleep(min(_READINESS_GAP_S, grace_s / 2))
+        self.front.drain()
+        while self.front.busy_count and trio.current_time() < deadline_s:
+            await trio.sleep(0.02)
+
+
+async def _serve_peers(
+    peers: PeerServer,
+    listener: trio.SocketListener,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        while True:
+            stream = await listener.accept()
+            nursery.start_soon(peers.serve, stream)
+
+
+def main() -> None:
+    """Run the daemon with the platform's settings file."""
+    configure_logs(as_json=True)
+    try:
+        place = boot.load_place(boot.settings_path())
+    except BadSettings as failure:
+        _LOG.error('settings refused', error=str(failure))
+        sys.exit(2)
+    trio.run(Entry(place).run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/marjoramwharf/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Queueing, refusing and placing of jobs: decisions without a network."""
--- /dev/null
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -0,0 +1,212 @@
+"""The workers of a cell, as its owner sees them, and what is placed on them."""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from marjoramwharf.ids import DataCentreId, WorkerId
+from marjoramwharf.scheduling.job_state import Run, Step
+from marjoramwharf.scheduling.workload import StepRequest
+
+# Share of its weight that a failure on a worker keeps after one second.
+_FAILURE_DECAY_PER_S = 0.85
+
+
+@enum.unique
+class WorkerState(enum.Enum):
+    """What the platform's list says of a worker."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    GONE = 'gone'
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Processors in thousandths, memory in MB, and accelerators."""
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators_count: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerListing:
+    """One worker of the platform's list.
+
+    ``born_ms`` is the wall-clock time of its start and tells its incarnations
+    apart. ``labels`` hold its kind and its rack; ``rack`` is the last one.
+    ``remaining_ms`` is the least time that a draining worker has left.
+    """
+
+    worker_id: WorkerId
+    service: str
+    host: str
+    port: int
+    data_centre: DataCentreId
+    state: WorkerState
+    capacity: Room
+    labels: tuple[str, ...]
+    born_ms: int = 0
+    remaining_ms: int | None = None
+    machine: str = ''
+
+    @property
+    def rack(self) -> str:
+        """The rack of the worker, empty if it names none."""
+        return self.labels[-1] if self.labels else ''
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """A worker with the runs that count against its room.
+
+    ``is_reachable`` says whether its latest look was answered. Nothing new is
+    placed before ``not_before_s``. ``failure_weight`` is the decayed number of
+    runs that failed there.
+    """
+
+    listing: WorkerListing
+    is_reachable: bool = False
+    born_ms: int = 0
+    not_before_s: float = 0
+    suspect_until_s: float = 0
+    failure_weight: float = 0
+    failure_noted_s: float = 0
+    cpu_used: int = 0
+    memory_used: int = 0
+    accelerators_used: int = 0
+    fill_cpu: int = 0
+    serving_cpu: int = 0
+    runs: set[Run] = field(default_factory=set)
+    step_counts: Counter[int] = field(default_factory=Counter)
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """The id under which the worker is listed."""
+        return self.listing.worker_id
+
+    @property
+    def capacity(self) -> Room:
+        """The whole room of the worker."""
+        return self.listing.capacity
+
+    def add(self, run: Run) -> None:
+        """Count a run against the worker's room."""
+        if run not in self.runs:
+            self.runs.add(run)
+            self._count(run, 1)
+
+    def remove(self, run: Run) -> None:
+        """Free the room of a run."""
+        if run in self.runs:
+            self.runs.discard(run)
+            self._count(run, -1)
+
+    def count_of(self, step: Step) -> int:
+        """Return how many runs of a step count against this worker."""
+        return self.step_counts[id(step)]
+
+    def note_failure(self, now_s: float) -> None:
+        """Count a run that failed on this worker."""
+        self.failure_weight = self.failures_at(now_s) + 1
+        self.failure_noted_s = now_s
+
+    def failures_at(self, now_s: float) -> float:
+        """Return the decayed number of failures."""
+        passed_s = max(0, now_s - self.failure_noted_s)
+        weight: float = self.failure_weight * _FAILURE_DECAY_PER_S**passed_s
+        return weight
+
+    def is_usable(self, now_s: float) -> bool:
+        """Whether new runs may be placed here."""
+        return (
+            self.listing.state is WorkerState.READY
+            and self.is_reachable
+            and self.not_before_s <= now_s
+        )
+
+    def holds(self, step: StepRequest) -> bool:
+        """Whether a task of a step fits beside what is placed here."""
+        free_memory = self.capacity.memory_mb - self.memory_used
+        free_accelerators = (
+            self.capacity.accelerators_count - self.accelerators_used
+        )
+        if step.memory_mb > free_memory:
+            return False
+        if step.accelerators_count > free_accelerators:
+            return False
+        if step.fills:
+            return True
+        return step.cpu_millicores <= (
+            self.capacity.cpu_millicores - self.cpu_used
+        )
+
+    def could_hold(self, step: StepRequest) -> bool:
+        """Whether an empty worker of this kind could run a task of a step."""
+        room = self.capacity
+        if step.required_label and step.required_label not in (
+            self.listing.labels
+        ):
+            return False
+        return (
+            step.memory_mb <= room.memory_mb
+            and step.accelerators_count <= room.accelerators_count
+            and (step.fills or step.cpu_millicores <= room.cpu_millicores)
+        )
+
+    def serving_runs(self) -> Iterator[Run]:
+        """Return the runs with a tail latency to keep."""
+        return (run for run in self.runs if run.step.target_tail_ms)
+
+    def filling_runs(self) -> Iterator[Run]:
+        """Return the runs that take what the others leave unused."""
+        return (run for run in self.runs if run.step.fills)
+
+    def _count(self, run: Run, sign: int) -> None:
+        step = run.step
+        self.memory_used += sign * step.memory_mb
+        self.accelerators_used += sign * step.accelerators_count
+        if step.fills:
+            self.fill_cpu += sign * step.cpu_millicores
+        else:
+            self.cpu_used += sign * step.cpu_millicores
+        if step.target_tail_ms:
+            self.serving_cpu += sign * step.cpu_millicores
+        self._count_step(run, sign)
+
+    def _count_step(self, run: Run, sign: int) -> None:
+        key = id(run.task.step)
+        self.step_counts[key] += sign
+        if not self.step_counts[key]:
+            self.step_counts.pop(key)
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The workers of a cell by id."""
+
+    workers: dict[WorkerId, Worker] = field(default_factory=dict)
+
+    def of_service(self, service: str) -> list[Worker]:
+        """Return the workers of a service, in no special order."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.listing.service == service
+        ]
+
+    def reserve(self, run: Run) -> None:
+        """Count a run against its worker, if that is known."""
+        worker = self.workers.get(run.worker_id)
+        if worker is not None:
+            worker.add(run)
+
+    def release(self, run: Run) -> None:
+        """Free what a run held."""
+        worker = self.workers.get(run.worker_id)
+        if worker is not None:
+            worker.remove(run)
--- /dev/null
+++ b/src/marjoramwharf/scheduling/job_book.py
@@ -0,0 +1,294 @@
+"""All jobs of a cell, and the changes that orders and ends make to them.
+
+The book decides nothing about when or where a task runs. Every change that
+has to outlive the process marks its job in ``unstored``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from marjoramwharf.ids import JobId, TaskId, WorkerId
+from marjoramwharf.scheduling.job_state import (
+    Job,
+    JobPhase,
+    Occurrence,
+    Run,
+    RunEnd,
+    RunPhase,
+    Step,
+    Task,
+)
+from marjoramwharf.scheduling.workload import JobRequest
+
+# A task may start this much before its due time; it is below the tolerance
+# that callers of scheduled jobs are promised.
+_EARLY_START_MS = 0
+
+
+@dataclass(slots=True)
+class JobBook:
+    """Jobs by id, with the tasks that may start now.
+
+    ``ready`` keeps the order in which tasks became ready.
+    """
+
+    jobs: dict[JobId, Job] = field(default_factory=dict)
+    ready: dict[TaskId, Task] = field(default_factory=dict)
+    unstored: dict[JobId, Job] = field(default_factory=dict)
+    _repeating: dict[JobId, Job] = field(default_factory=dict)
+
+    def add(self, request: JobRequest, *, now_s: float, now_ms: int) -> Job:
+        """Take a job in; a repeat returns the known one."""
+        known = self.jobs.get(request.job_id)
+        if known is not None:
+            return known
+        job = Job(request, learned_s=now_s)
+        self.jobs[job.job_id] = job
+        if request.repeat_count:
+            self._repeating[job.job_id] = job
+        else:
+            self._open(job, 0, now_s, now_ms)
+        self.advance(now_s=now_s, now_ms=now_ms)
+        return job
+
+    def adopt(self, job: Job, *, now_s: float, now_ms: int) -> None:
+        """Take in a job whose state was read from the store."""
+        self.jobs[job.job_id] = job
+        if not job.is_open:
+            return
+        if job.request.repeat_count:
+            self._repeating[job.job_id] = job
+        for occurrence in job.occurrences.values():
+            occurrence.is_due = now_ms + _EARLY_START_MS >= occurrence.due_ms
+            self._refresh(occurrence, now_s)
+
+    def advance(self, *, now_s: float, now_ms: int) -> None:
+        """Open the occurrences whose time has come."""
+        for job in tuple(self._repeating.values()):
+            self._open_due(job, now_s, now_ms)
+
+    def next_due_ms(self) -> int | None:
+        """Return the time at which the next occurrence opens."""
+        return min(
+            (
+                job.request.due_ms(job.next_occurrence)
+                for job in self._repeating.values()
+            ),
+            default=None,
+        )
+
+    def place(
+        self,
+        task: Task,
+        *,
+        worker_id: WorkerId,
+        born_ms: int,
+        number: int,
+        now_s: float,
+    ) -> Run:
+        """Plan a run of a task; it is ordered once it is stored."""
+        run = Run(
+            task=task,
+            number=number,
+            worker_id=worker_id,
+            born_ms=born_ms,
+            phase=RunPhase.PLANNED,
+            placed_s=now_s,
+            moved_s=now_s,
+            saved=task.checkpoint,
+        )
+        task.runs[number] = run
+        task.last_run = max(task.last_run, number)
+        self.ready.pop(task.name, None)
+        job = job_of(task)
+        self._changed(job)
+        run.planned_version = job.version
+        return run
+
+    def started(self, run: Run, *, now_s: float) -> None:
+        """Note that a worker has begun a run."""
+        if run.phase in {RunPhase.ORDERED, RunPhase.UNCERTAIN}:
+            run.phase = RunPhase.RUNNING
+        if run.started_s is None:
+            run.started_s = now_s
+            run.moved_s = now_s
+        run.task.has_begun = True
+        job = job_of(run.task)
+        if not job.has_begun:
+            job.has_begun = True
+            self._changed(job)
+
+    def end(
+        self,
+        run: Run,
+        how: RunEnd,
+        *,
+        saved: str,
+        max_attempts: int,
+        now_s: float,
+    ) -> None:
+        """Take in the end of a run; ``saved`` is its checkpoint, if any."""
+        task = run.task
+        task.runs.pop(run.number, None)
+        run.phase = RunPhase.ENDED
+        job = job_of(task)
+        if saved:
+            self._save(task, saved)
+        if how is RunEnd.DONE and not task.step.request.is_lasting:
+            self._complete(task)
+        elif how is RunEnd.FAILED:
+            task.failed_workers.add(run.worker_id)
+            self._count_failure(task, max_attempts)
+        self._changed(job)
+        self._settle(job, task.step, now_s)
+
+    def cancel(self, job_id: JobId, *, now_s: float) -> Job | None:
+        """Cancel a job; its live runs are still to be stopped."""
+        job = self.jobs.get(job_id)
+        if job is None or not job.is_open:
+            return job
+        self._finish(job, JobPhase.CANCELLED, now_s)
+        return job
+
+    def fail(self, job: Job, *, now_s: float) -> None:
+        """Give a job up after the last attempt of a task."""
+        self._finish(job, JobPhase.FAILED, now_s)
+
+    def forget(self, job_id: JobId) -> None:
+        """Drop a finished job."""
+        self.jobs.pop(job_id, None)
+        self._repeating.pop(job_id, None)
+        self.unstored.pop(job_id, None)
+
+    def waiting_count(self, queue: str) -> int:
+        """Return the accepted jobs of a queue that have not begun."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.is_open and not job.has_begun and job.request.queue == queue
+        )
+
+    def find_run(self, name: TaskId, number: int) -> Run | None:
+        """Return the live run of a task, ``None`` if there is none."""
+        task = self.find_task(name)
+        return None if task is None else task.runs.get(number)
+
+    def find_task(self, name: TaskId) -> Task | None:
+        """Return a task by its name, ``None`` if it isn't known."""
+        job_id, _, rest = name.partition('.')
+        job = self.jobs.get(JobId(job_id))
+        numbers = rest.split('.')
+        if job is None or len(numbers) != 3:
+            return None
+        if not all(number.isdecimal() for number in numbers):
+            return None
+        occurrence, step, index = (int(number) for number in numbers)
+        return job.find(occurrence, step, index)
+
+    def live_runs(self) -> Iterator[Run]:
+        """Return the live runs of all jobs."""
+        for job in self.jobs.values():
+            yield from job.live_runs()
+
+    def surplus_runs(self, job: Job) -> list[Run]:
+        """Return the runs of a job that are no longer of use."""
+        return [
+            run
+            for run in job.live_runs()
+            if not job.is_open or run.task.is_done
+        ]
+
+    def _open_due(self, job: Job, now_s: float, now_ms: int) -> None:
+        request = job.request
+        while job.is_open and job.next_occurrence < request.occurrences_count:
+            due_ms = request.due_ms(job.next_occurrence)
+            if due_ms > now_ms + _EARLY_START_MS:
+                return
+            self._open(job, job.next_occurrence, now_s, now_ms)
+        self._repeating.pop(job.job_id, None)
+
+    def _open(self, job: Job, number: int, now_s: float, now_ms: int) -> None:
+        occurrence = job.open_occurrence(number)
+        occurrence.is_due = now_ms + _EARLY_START_MS >= occurrence.due_ms
+        self._refresh(occurrence, now_s)
+        self._changed(job)
+
+    def _save(self, task: Task, saved: str) -> None:
+        for member in gang_of(task):
+            member.checkpoint = saved
+
+    def _complete(self, task: Task) -> None:
+        for member in gang_of(task):
+            if not member.is_done:
+                member.is_done = True
+                member.step.done_count += 1
+                self.ready.pop(member.name, None)
+
+    def _count_failure(self, task: Task, max_attempts: int) -> None:
+        counted = gang_of(task)[0]
+        counted.failures_count += 1
+        exhausted = counted.failures_count >= max_attempts
+        job = job_of(task)
+        if exhausted and not task.step.request.is_lasting and job.is_open:
+            job.phase = JobPhase.FAILED
+
+    def _settle(self, job: Job, step: Step, now_s: float) -> None:
+        """Open what the end of a run allows, or finish the job."""
+        if job.phase is JobPhase.FAILED:
+            self._finish(job, JobPhase.FAILED, now_s)
+        if not job.is_open:
+            if next(job.live_runs(), None) is None:
+                job.occurrences.clear()
+            return
+        occurrence = step.occurrence
+        self._refresh(occurrence, now_s)
+        if occurrence.is_done:
+            job.occurrences.pop(occurrence.number, None)
+        total = job.request.occurrences_count
+        if not job.occurrences and job.next_occurrence >= total:
+            self._finish(job, JobPhase.DONE, now_s)
+
+    def _finish(self, job: Job, phase: JobPhase, now_s: float) -> None:
+        job.phase = phase
+        job.finished_s = now_s
+        self._repeating.pop(job.job_id, None)
+        for task in job.tasks():
+            self.ready.pop(task.name, None)
+        if next(job.live_runs(), None) is None:
+            job.occurrences.clear()
+        self._changed(job)
+
+    def _refresh(self, occurrence: Occurrence, now_s: float) -> None:
+        """Add the tasks of an occurrence that may start to ``ready``."""
+        if not occurrence.is_due:
+            return
+        for step in occurrence.steps:
+            if not step.is_done and step.is_open:
+                self._add_ready(step, now_s)
+
+    def _add_ready(self, step: Step, now_s: float) -> None:
+        if step.request.is_gang:
+            if not all(task.is_waiting for task in step.tasks):
+                return
+        for task in step.tasks:
+            if task.is_waiting and task.name not in self.ready:
+                task.ready_since_s = now_s
+                self.ready[task.name] = task
+
+    def _changed(self, job: Job) -> None:
+        job.touch()
+        self.unstored[job.job_id] = job
+
+
+def job_of(task: Task) -> Job:
+    """Return the job that a task belongs to."""
+    return task.step.occurrence.job
+
+
+def gang_of(task: Task) -> Sequence[Task]:
+    """Return the tasks that end together with a task, the first one first."""
+    if task.step.request.is_gang:
+        return task.step.tasks
+    return (task,)
--- /dev/null
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -0,0 +1,248 @@
+"""State of the jobs that a cell owns: tasks, their runs, and what may start.
+
+A *run* is one start of a task at one worker. Its number rises with each start
+of the task, so that a worker can tell a late order from a new one. The state
+here is what the owner believes; ``cells`` stores it before it acts on it.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from marjoramwharf.ids import JobId, TaskId, WorkerId
+from marjoramwharf.scheduling.workload import (
+    JobRequest,
+    StepRequest,
+    chain_lengths_ms,
+    task_name,
+)
+
+
+@enum.unique
+class RunPhase(enum.Enum):
+    """How far a run has come.
+
+    ``PLANNED`` runs are not stored yet and no order was sent. An ``ORDERED``
+    run may have started. ``UNCERTAIN`` runs were found in the store by a new
+    owner that hasn't heard from their worker yet.
+    """
+
+    PLANNED = 'planned'
+    ORDERED = 'ordered'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+    UNCERTAIN = 'uncertain'
+    ENDED = 'ended'
+
+
+@enum.unique
+class RunEnd(enum.Enum):
+    """How a run ended.
+
+    ``FAILED`` is the only end that counts as an attempt. ``VANISHED`` means
+    that the run never started or ended with its worker.
+    """
+
+    DONE = 'done'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    LAPSED = 'lapsed'
+    BROKEN = 'broken'
+    ALONE = 'alone'
+    VANISHED = 'vanished'
+
+
+@enum.unique
+class JobPhase(enum.IntEnum):
+    """State of a job; the values are stored."""
+
+    OPEN = 0
+    DONE = 1
+    FAILED = 2
+    CANCELLED = 3
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One start of a task at a worker.
+
+    ``percent`` is the progress that the worker reports, and ``moved_s`` the
+    last time at which it changed. ``reading`` is the tail latency in ms of a
+    task that serves, and the processors in use (millicores) of any other.
+    ``pace_percent`` is the share of its speed at which it may work. The run
+    may be ordered once ``planned_version`` of its job is stored. It
+    ``is_doubtful`` when an order to start it got no answer.
+    """
+
+    task: Task
+    number: int
+    worker_id: WorkerId
+    born_ms: int
+    phase: RunPhase
+    placed_s: float
+    started_s: float | None = None
+    percent: int = 0
+    moved_s: float = 0
+    reading: int = 0
+    saved: str = ''
+    pace_percent: int = 100
+    planned_version: int = 0
+    stop_answered_s: float | None = None
+    is_doubtful: bool = False
+    ticket: str = ''
+
+    @property
+    def step(self) -> StepRequest:
+        """The step that the run's task belongs to."""
+        return self.task.step.request
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task and its live runs by number."""
+
+    step: Step
+    index: int
+    name: TaskId
+    is_done: bool = False
+    last_run: int = 0
+    failures_count: int = 0
+    checkpoint: str = ''
+    runs: dict[int, Run] = field(default_factory=dict)
+    failed_workers: set[WorkerId] = field(default_factory=set)
+    not_before_s: float = 0
+    ready_since_s: float = 0
+    has_begun: bool = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the task neither is done nor has a live run."""
+        return not self.is_done and not self.runs
+
+
+@dataclass(slots=True, eq=False)
+class Step:
+    """The tasks of one step in one occurrence.
+
+    ``chain_ms`` is the estimated time from the start of the step to the end
+    of the longest chain of steps that it begins.
+    """
+
+    occurrence: Occurrence
+    number: int
+    request: StepRequest
+    chain_ms: int = 0
+    tasks: list[Task] = field(default_factory=list)
+    done_count: int = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks have ended done."""
+        return self.done_count == len(self.tasks)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether all steps that this one comes after are done."""
+        steps = self.occurrence.steps
+        return all(steps[before].is_done for before in self.request.after)
+
+
+@dataclass(slots=True, eq=False)
+class Occurrence:
+    """One pass through the steps of a job."""
+
+    job: Job
+    number: int
+    due_ms: int
+    steps: list[Step] = field(default_factory=list)
+    is_due: bool = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all steps are done."""
+        return all(step.is_done for step in self.steps)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job that this cell owns.
+
+    ``version`` grows with each change that has to be stored, and
+    ``stored_version`` is the latest one that is. ``shown_phase`` is the state
+    of the job in the store, which is what callers are told.
+    """
+
+    request: JobRequest
+    phase: JobPhase = JobPhase.OPEN
+    shown_phase: JobPhase = JobPhase.OPEN
+    occurrences: dict[int, Occurrence] = field(default_factory=dict)
+    next_occurrence: int = 0
+    version: int = 0
+    stored_version: int = 0
+    stored_revision: int = 0
+    has_begun: bool = False
+    finished_s: float = 0
+    learned_s: float = 0
+
+    @property
+    def job_id(self) -> JobId:
+        """The caller's id of the job."""
+        return self.request.job_id
+
+    @property
+    def is_open(self) -> bool:
+        """Whether tasks of the job may still start."""
+        return self.phase is JobPhase.OPEN
+
+    def touch(self) -> None:
+        """Note a change that has to be stored."""
+        self.version += 1
+
+    def open_occurrence(self, number: int) -> Occurrence:
+        """Create the steps and tasks of one occurrence."""
+        occurrence = Occurrence(self, number, self.request.due_ms(number))
+        chains_ms = chain_lengths_ms(self.request.steps)
+        for step_number, request in enumerate(self.request.steps):
+            step = Step(
+                occurrence,
+                step_number,
+                request,
+                chains_ms[step_number],
+            )
+            step.tasks = [
+                Task(step, index, self._name(number, step_number, index))
+                for index in range(request.count)
+            ]
+            occurrence.steps.append(step)
+        self.occurrences[number] = occurrence
+        self.next_occurrence = max(self.next_occurrence, number + 1)
+        return occurrence
+
+    def tasks(self) -> Iterator[Task]:
+        """Return the tasks of all open occurrences."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                yield from step.tasks
+
+    def live_runs(self) -> Iterator[Run]:
+        """Return all runs that may be at work."""
+        for task in self.tasks():
+            yield from task.runs.values()
+
+    def find(self, occurrence: int, step: int, index: int) -> Task | None:
+        """Return a task by its numbers, ``None`` if there is none."""
+        found = self.occurrences.get(occurrence)
+        if found is None or not 0 <= step < len(found.steps):
+            return None
+        tasks = found.steps[step].tasks
+        return tasks[index] if 0 <= index < len(tasks) else None
+
+    def _name(self, occurrence: int, step: int, index: int) -> TaskId:
+        return task_name(
+            self.job_id,
+            occurrence=occurrence,
+            step=step,
+            index=index,
+        )
--- /dev/null
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -0,0 +1,162 @@
+"""Plans which waiting tasks start now, and where."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+from marjoramwharf.ids import WorkerId
+from marjoramwharf.scheduling import ordering, placement
+from marjoramwharf.scheduling.fleet import Fleet, Worker
+from marjoramwharf.scheduling.job_book import JobBook, gang_of
+from marjoramwharf.scheduling.job_state import Run, Step, Task
+from marjoramwharf.scheduling.policy import QueuePolicy
+
+# Tickets by worker for a step; ``None`` where the queue needs none.
+Tickets = Mapping[WorkerId, str]
+TicketSource = Callable[[Step], Tickets | None]
+
+
+@dataclass(frozen=True, slots=True)
+class Planner:
+    """Places the ready tasks of a book on the workers of a fleet."""
+
+    book: JobBook
+    fleet: Fleet
+    tickets: TicketSource
+
+    def plan(
+        self,
+        queues: Mapping[str, QueuePolicy],
+        *,
+        now_s: float,
+        now_ms: int,
+    ) -> list[Run]:
+        """Plan runs for what fits now; they are reserved but not ordered."""
+        tasks = [
+            task
+            for task in self.book.ready.values()
+            if task.not_before_s <= now_s
+        ]
+        groups = ordering.group_by_step(tasks)
+        ranked = sorted(
+            (
+                ordering.step_rank(
+                    group[0].step,
+                    ordering.queue_of(group[0], queues),
+                    now_ms=now_ms,
+                ),
+                number,
+            )
+            for number, group in enumerate(groups)
+        )
+        planned: list[Run] = []
+        for _, number in ranked:
+            group = groups[number]
+            queue = ordering.queue_of(group[0], queues)
+            planned.extend(self._place_group(group, queue.service, now_s))
+        return planned
+
+    def duplicate(
+        self,
+        task: Task,
+        service: str,
+        *,
+        now_s: float,
+    ) -> Run | None:
+        """Plan one more run of a task on a worker that runs none of it."""
+        taken = frozenset(run.worker_id for run in task.runs.values())
+        candidates = self._candidates(task, service)
+        worker = placement.choose_worker(
+            task,
+            candidates,
+            avoid=taken,
+            now_s=now_s,
+        )
+        return None if worker is None else self._place(task, worker, now_s)
+
+    def _place_group(
+        self,
+        group: Sequence[Task],
+        service: str,
+        now_s: float,
+    ) -> list[Run]:
+        candidates = self._candidates(group[0], service)
+        if group[0].step.request.is_gang:
+            return self._place_gang(group[0], candidates, now_s)
+        if group[0].step.request.needs_one_rack:
+            candidates = _rack_first(group[0].step, candidates)
+        planned: list[Run] = []
+        for task in group:
+            worker = placement.choose_worker(
+                task,
+                candidates,
+                avoid=frozenset(),
+                now_s=now_s,
+            )
+            if worker is None:
+                break
+            planned.append(self._place(task, worker, now_s))
+        return planned
+
+    def _place_gang(
+        self,
+        first: Task,
+        candidates: Sequence[Worker],
+        now_s: float,
+    ) -> list[Run]:
+        tasks = gang_of(first)
+        chosen = placement.choose_workers(
+            tasks,
+            self.fleet,
+            candidates,
+            reserve=first.step.request.needs_one_rack,
+            now_s=now_s,
+        )
+        number = 1 + max(task.last_run for task in tasks)
+        return [
+            self._place(task, worker, now_s, number=number)
+            for task, worker in chosen or ()
+        ]
+
+    def _place(
+        self,
+        task: Task,
+        worker: Worker,
+        now_s: float,
+        *,
+        number: int | None = None,
+    ) -> Run:
+        run = self.book.place(
+            task,
+            worker_id=worker.worker_id,
+            born_ms=worker.born_ms,
+            number=task.last_run + 1 if number is None else number,
+            now_s=now_s,
+        )
+        run.ticket = (self.tickets(task.step) or {}).get(worker.worker_id, '')
+        worker.add(run)
+        return run
+
+    def _candidates(self, task: Task, service: str) -> list[Worker]:
+        workers = self.fleet.of_service(service)
+        tickets = self.tickets(task.step)
+        if tickets is None:
+            return workers
+        return [worker for worker in workers if worker.worker_id in tickets]
+
+
+def _rack_first(step: Step, candidates: Sequence[Worker]) -> list[Worker]:
+    """Return the workers of the rack that most of a step runs on.
+
+    Before the first start, that is the rack with the most free processors.
+    """
+    running = [worker for worker in candidates if worker.count_of(step)]
+    racks: dict[str, float] = {}
+    for worker in candidates:
+        free = worker.capacity.cpu_millicores - worker.cpu_used
+        racks[worker.listing.rack] = racks.get(worker.listing.rack, 0) + free
+    chosen = max(racks, key=racks.__getitem__, default='')
+    if running:
+        chosen = running[0].listing.rack
+    return [worker for worker in candidates if worker.listing.rack == chosen]
--- a/src/marjoramwharf/tracing.py
+++ b/src/marjoramwharf/tracing.py
@@ -9,10 +9,12 @@
 
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from typing import TYPE_CHECKING
 
 from opentelemetry import propagate, trace
 
-from marjoramwharf.settings import TraceSettings
+if TYPE_CHECKING:
+    from marjoramwharf.settings import TraceSettings
 
 _TRACER = trace.get_tracer('marjoramwharf')
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -31,7 +31,7 @@
     resumed_twice,
 )
 from tools.jobs_load import job_body, job_headers
-from tools.lean_http import LeanClient
+from marjoramwharf.links.http_client import LeanClient
 from tools.load import Balancer, Callers, Planned
 
 _EXAMPLES = pathlib.Path('examples')
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -28,7 +28,7 @@
 from tools.fleet import OPERATOR_TOKEN, Fleet, WorkerShape, stopping
 from tools.history import CallerRecord, WorkerRecord, check, read_record
 from tools.jobs_load import JobLoad, plan_jobs, with_jobs
-from tools.lean_http import LeanClient
+from marjoramwharf.links.http_client import LeanClient
 from tools.load import Balancer, Callers, Planned, Seen, schedule
 from tools.processes import Process
 
