--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -38,6 +38,7 @@
     WorkerListing,
     WorkerState,
 )
+from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_book import JobBook, job_of
 from marjoramwharf.scheduling.job_state import (
     Job,
@@ -46,6 +47,7 @@
     RunEnd,
     RunPhase,
 )
+from marjoramwharf.scheduling.pacing import PaceKeeper
 from marjoramwharf.scheduling.planner import Planner
 from marjoramwharf.scheduling.policy import Configuration
 
@@ -103,6 +105,8 @@
     is_stopping: bool = False
     taken_s: float = field(default_factory=boot_s)
     _plan_signal: Signal = field(default_factory=Signal)
+    _model: InterferenceModel = field(default_factory=InterferenceModel)
+    _pacing: dict[WorkerId, PaceKeeper] = field(default_factory=dict)
     _cancelled: set[JobId] = field(default_factory=set)
     _nursery: trio.Nursery | None = None
     _writer: ProgressWriter = field(init=False)
@@ -117,7 +121,12 @@
             owner=self.owner,
             on_stored=self._job_stored,
         )
-        self._planner = Planner(self.book, self.fleet, _no_tickets)
+        self._planner = Planner(
+            self.book,
+            self.fleet,
+            self._model,
+            _no_tickets,
+        )
 
     async def run(self) -> None:
         """Own the cell until cancelled; raises ``NotOwner`` once superseded."""
@@ -189,6 +198,7 @@
         worker = self.fleet.workers.get(run.worker_id)
         if worker is not None:
             worker.remove(run)
+            self._pacing[worker.worker_id].note_end(run, now_s=now_s)
             if how is RunEnd.FAILED:
                 worker.note_failure(now_s)
         if how not in {RunEnd.DONE, RunEnd.STOPPED}:
@@ -213,7 +223,22 @@
         return job
 
     def looked(self, link: WorkerLink) -> None:
-        """Take in a look at a worker."""
+        """Take in a look at a worker and pace what runs there."""
+        now_s = boot_s()
+        keeper = self._pacing.get(link.worker.worker_id)
+        if keeper is not None and self._nursery is not None:
+            keeper.learn(now_s=now_s)
+            for run, percent in keeper.decide(now_s=now_s).items():
+                _LOG.info(
+                    'pace',
+                    task=run.task.name,
+                    run=run.number,
+                    worker=run.worker_id,
+                    percent=percent,
+                )
+                run.pace_percent = percent
+                self._nursery.start_soon(link.pace, run, percent)
+            link.is_urgent = keeper.needs_look()
         self._plan_signal.set()
 
     def stop_run(self, run: Run) -> None:
@@ -358,6 +383,7 @@
             stop_ms=self.parts.bounds.stop_ms,
         )
         self.links[worker.worker_id] = link
+        self._pacing[worker.worker_id] = PaceKeeper(worker, self._model)
         if self._nursery is not None:
             self._nursery.start_soon(link.run)
 
@@ -454,6 +480,7 @@
             if gone and not worker.runs and not worker.is_reachable:
                 self.links.pop(worker_id).scope.cancel()
                 self.fleet.workers.pop(worker_id)
+                self._pacing.pop(worker_id)
 
     async def _forget_old(self) -> None:
         kept_s = self.parts.bounds.status_ms / 1_000 + _FORGET_SLACK_S
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -41,6 +41,9 @@
 _BUSY_WAIT_MS = 1_000
 _IDLE_WAIT_MS = 2_000
 
+# The wait while a tail is over its target or filling work is paused.
+_URGENT_WAIT_MS = 400
+
 # The answer of a hold may come this much after its wait is over.
 _HOLD_SLACK_S = 1.0
 _UNREACHABLE_PAUSE_S = 0.2
@@ -85,7 +88,8 @@
     """Holds one worker for the owner of its cell.
 
     ``hold_ms`` is the length of a lease. ``noted_end`` is the last end that
-    is stored, and ``taken_end`` the last that was taken in.
+    is stored, and ``taken_end`` the last that was taken in. ``is_urgent``
+    asks for frequent looks.
     """
 
     worker: Worker
@@ -98,6 +102,7 @@
     noted_end: int = 0
     taken_end: int = 0
     looks_count: int = 0
+    is_urgent: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _unnoted: deque[tuple[int, Job | None, int]] = field(
         default_factory=deque,
@@ -253,6 +258,8 @@
     def _wait_ms(self) -> int:
         if self.clock.reading_ms is None or not self.worker.is_reachable:
             return 0
+        if self.is_urgent:
+            return _URGENT_WAIT_MS
         return _BUSY_WAIT_MS if self.worker.runs else _IDLE_WAIT_MS
 
     async def _wait_for_notes(self) -> None:
--- /dev/null
+++ b/src/marjoramwharf/scheduling/pacing.py
@@ -0,0 +1,178 @@
+"""Keeps the tails of serving tasks under their targets on one worker.
+
+Load answered: filling tasks that turn out to disturb what serves beside them.
+The ones that are to blame most are slowed first; a tail that stays over its
+target for long stops all filling work of the worker.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from marjoramwharf.scheduling.fleet import Worker
+from marjoramwharf.scheduling.interference import InterferenceModel, Pressure
+from marjoramwharf.scheduling.job_state import Run, RunPhase
+
+FULL_PERCENT = 100
+
+# The share of its target to which a pause should bring a tail.
+_GOAL_SHARE = 0.7
+
+# A tail that is over its target for the first time pauses those to blame, and
+# for the second all filling work of the worker.
+_PAUSE_AFTER_S = 1.6
+_PAUSE_ALL_AFTER_S = 2.4
+
+# Readings cover the last half second.
+_READING_WINDOW_S = 0.5
+
+
+@dataclass(slots=True)
+class _Past:
+    """A filling run that has ended, for as long as readings show it."""
+
+    image: str
+    share: float
+    started_s: float
+    ended_s: float
+
+
+@dataclass(slots=True)
+class PaceKeeper:
+    """State of the pacing on one worker."""
+
+    worker: Worker
+    model: InterferenceModel
+    _over_since_s: dict[Run, float] = field(default_factory=dict)
+    _past: list[_Past] = field(default_factory=list)
+
+    def note_end(self, run: Run, *, now_s: float) -> None:
+        """Remember a filling run that has just ended."""
+        if run.step.fills and run.started_s is not None:
+            self._past.append(
+                _Past(
+                    run.step.image,
+                    share_of(run, self.worker, run.pace_percent),
+                    run.started_s,
+                    now_s,
+                ),
+            )
+
+    def learn(self, *, now_s: float) -> None:
+        """Let the model learn from the latest readings."""
+        pressures = self._recent_pressures(now_s)
+        for run in _at_work(self.worker.serving_runs()):
+            if run.reading and _is_settled(run, now_s):
+                self.model.observe(
+                    run.step.image,
+                    pressures,
+                    tail_share=run.reading / run.step.target_tail_ms,
+                )
+
+    def decide(self, *, now_s: float) -> Mapping[Run, int]:
+        """Return the runs whose pace changes, with the new percentage."""
+        serving = [
+            run for run in _at_work(self.worker.serving_runs()) if run.reading
+        ]
+        filling = _at_work(self.worker.filling_runs())
+        over = [run for run in serving if _tail_share(run) > 1]
+        self._over_since_s = {
+            run: self._over_since_s.get(run, now_s) for run in over
+        }
+        if not filling:
+            return {}
+        if not over:
+            return _changes(dict.fromkeys(filling, FULL_PERCENT))
+        longest_s = now_s - min(self._over_since_s.values())
+        if longest_s < _PAUSE_AFTER_S:
+            return {}
+        if longest_s >= _PAUSE_ALL_AFTER_S:
+            return _changes(dict.fromkeys(filling, 0))
+        return self._pause(over, filling)
+
+    def needs_look(self) -> bool:
+        """Whether the next look is due soon, to end a pause or begin one."""
+        return bool(self._over_since_s) or any(
+            run.pace_percent < FULL_PERCENT
+            for run in self.worker.filling_runs()
+        )
+
+    def _pause(
+        self,
+        over: Sequence[Run],
+        filling: Sequence[Run],
+    ) -> Mapping[Run, int]:
+        """Pause the runs to blame until the tails are expected back."""
+        excess = {
+            run: math.log(_tail_share(run) / _GOAL_SHARE) for run in over
+        }
+        paused: dict[Run, int] = {}
+        for run in sorted(filling, key=self._blame_by(over), reverse=True):
+            if max(excess.values()) <= 0:
+                break
+            paused[run] = 0
+            share = share_of(run, self.worker, run.pace_percent)
+            for served in excess:
+                weight = self.model.weight(run.step.image, served.step.image)
+                excess[served] -= weight * share
+        return _changes(paused)
+
+    def _blame_by(self, over: Sequence[Run]) -> Callable[[Run], float]:
+        def blame(run: Run) -> float:
+            share = share_of(run, self.worker, run.pace_percent)
+            return share * sum(
+                self.model.weight(run.step.image, served.step.image)
+                for served in over
+            )
+
+        return blame
+
+    def _recent_pressures(self, now_s: float) -> list[Pressure]:
+        since_s = now_s - _READING_WINDOW_S
+        self._past = [past for past in self._past if past.ended_s > since_s]
+        found = [
+            Pressure(
+                past.image,
+                past.share * _overlap(past.started_s, past.ended_s, since_s),
+            )
+            for past in self._past
+        ]
+        for run in _at_work(self.worker.filling_runs()):
+            part = _overlap(run.started_s or now_s, now_s, since_s)
+            share = share_of(run, self.worker, run.pace_percent)
+            found.append(Pressure(run.step.image, share * part))
+        return [pressure for pressure in found if pressure.share > 0]
+
+
+def share_of(run: Run, worker: Worker, percent: int) -> float:
+    """Return the share of a worker that a run takes at a pace."""
+    whole = max(1, worker.capacity.cpu_millicores)
+    return run.step.cpu_millicores / whole * percent / FULL_PERCENT
+
+
+def _overlap(started_s: float, ended_s: float, since_s: float) -> float:
+    length_s = ended_s - max(started_s, since_s)
+    return min(1, max(0, length_s / _READING_WINDOW_S))
+
+
+def _tail_share(run: Run) -> float:
+    return run.reading / max(1, run.step.target_tail_ms)
+
+
+def _is_settled(run: Run, now_s: float) -> bool:
+    started_s = run.started_s
+    return started_s is not None and now_s - started_s > _READING_WINDOW_S
+
+
+def _at_work(runs: Iterable[Run]) -> list[Run]:
+    return [run for run in runs if run.phase is RunPhase.RUNNING]
+
+
+def _changes(paces: Mapping[Run, int]) -> Mapping[Run, int]:
+    return {
+        run: percent
+        for run, percent in paces.items()
+        if percent != run.pace_percent
+    }
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -1,17 +1,19 @@
 """Choice of the worker for a task.
 
 Load answered: many short tasks beside lasting tasks that serve users of their
-own. Tasks that fill run as fast as the unused processors of their worker
-allow and slow down what serves beside them, so they go where most is unused
-and least is served.
+own. Serving tasks are packed, so that some workers stay free of them. Tasks
+that fill go there first, and then where they are expected to disturb least.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.scheduling.fleet import Fleet, Worker
+from marjoramwharf.scheduling.interference import InterferenceModel, Pressure
 from marjoramwharf.scheduling.job_state import Run, RunPhase, Task
 from marjoramwharf.scheduling.workload import StepRequest
 
@@ -20,29 +22,57 @@
 _SUSPECT_COST = 3.0
 _SAME_FAILURE_COST = 4.0
 _OTHER_RACK_COST = 6.0
-_SERVING_BESIDE_FILL_COST = 0.5
+_OVERFULL_COST = 3.0
+_HARM_COST = 1.0
+_TOGETHER_GAIN = 0.3
+
+# Harm below this share of one task is no reason to wait.
+_HARM_FLOOR = 0.2
 _FILL_BESIDE_SERVING_COST = 1.0
-_OVERFULL_COST = 2.0
 
 # A serving task uses about this share of the processors that it reserves.
-_SERVING_USE_SHARE = 0.5
+_SERVING_USE_SHARE = 0.45
+
+# Share of its target up to which a tail is expected to do no harm.
+_SAFE_TAIL_SHARE = 0.85
+
+# Share of its target from which on a tail is expected to be over it.
+_LOST_TAIL_SHARE = 1.25
+
+# A worker takes filling tasks up to this share of its processors.
+_FILL_LIMIT_SHARE = 1.0
+
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """What a choice depends on besides the task and the workers.
+
+    Without ``may_harm`` a filling task waits rather than push a tail over its
+    target. ``avoid`` are workers that must not be chosen.
+    """
+
+    model: InterferenceModel
+    now_s: float
+    may_harm: bool = True
+    avoid: frozenset[WorkerId] = frozenset()
 
 
 def choose_worker(
     task: Task,
     workers: Iterable[Worker],
-    *,
-    avoid: frozenset[WorkerId],
-    now_s: float,
+    choice: Choice,
 ) -> Worker | None:
     """Return the cheapest worker that may run a task now, if there is one."""
     best: Worker | None = None
     best_cost: float = 0
     for worker in workers:
-        if worker.worker_id in avoid or not may_run(task, worker, now_s):
+        if worker.worker_id in choice.avoid:
+            continue
+        if not may_run(task, worker, choice.now_s):
             continue
-        cost = cost_of(task, worker, now_s)
-        if best is None or cost < best_cost:
+        cost = cost_of(task, worker, choice)
+        if cost is not None and (best is None or cost < best_cost):
             best = worker
             best_cost = cost
     return best
@@ -60,11 +90,22 @@
     return not label or label in worker.listing.labels
 
 
-def cost_of(task: Task, worker: Worker, now_s: float) -> float:
-    """Return how much a choice costs its own job and its neighbours."""
+def cost_of(task: Task, worker: Worker, choice: Choice) -> float | None:
+    """Return how much a choice costs its own job and its neighbours.
+
+    ``None`` means that the task should rather wait.
+    """
     request = task.step.request
-    cost = _load_cost(request, worker)
-    cost += _FAILURE_COST * worker.failures_at(now_s)
+    now_s = choice.now_s
+    if request.fills:
+        load_cost = _fill_cost(request, worker, choice)
+    elif request.target_tail_ms:
+        load_cost = _serving_cost(task, worker)
+    else:
+        load_cost = _plain_cost(worker)
+    if load_cost is None:
+        return None
+    cost = load_cost + _FAILURE_COST * worker.failures_at(now_s)
     if worker.suspect_until_s > now_s:
         cost += _SUSPECT_COST
     if worker.worker_id in task.failed_workers:
@@ -74,64 +115,118 @@
     return cost
 
 
-def _load_cost(request: StepRequest, worker: Worker) -> float:
-    whole = max(1, worker.capacity.cpu_millicores)
-    serving = worker.serving_cpu / whole
-    filling = worker.fill_cpu / whole
-    plain = (worker.cpu_used - worker.serving_cpu) / whole
-    own = request.cpu_millicores / whole
-    if request.fills:
-        used = plain + filling + serving * _SERVING_USE_SHARE + own
-        overfull = max(0, used - 1)
-        return (
-            used
-            + _SERVING_BESIDE_FILL_COST * serving
-            + _OVERFULL_COST * overfull
-        )
-    if request.target_tail_ms:
-        return serving + plain + _FILL_BESIDE_SERVING_COST * filling
-    return plain + serving + filling
-
-
 def choose_workers(
     tasks: Sequence[Task],
     fleet: Fleet,
     candidates: Sequence[Worker],
-    *,
-    reserve: bool,
-    now_s: float,
+    choice: Choice,
 ) -> list[tuple[Task, Worker]] | None:
     """Return a worker for each task of a gang, or ``None`` for the whole.
 
-    With ``reserve`` all workers have to be of one rack.
+    Where the step asks for it, all workers are of one rack.
     """
-    racks = {worker.listing.rack for worker in candidates} if reserve else {''}
+    one_rack = tasks[0].step.request.needs_one_rack
+    racks = {worker.listing.rack for worker in candidates} if one_rack else {''}
     for rack in sorted(racks):
         usable = [
             worker
             for worker in candidates
-            if not reserve or worker.listing.rack == rack
+            if not one_rack or worker.listing.rack == rack
         ]
-        found = _choose_all(tasks, fleet, usable, now_s)
+        found = _choose_all(tasks, fleet, usable, choice)
         if found is not None:
             return found
     return None
 
 
+def _fill_cost(
+    request: StepRequest,
+    worker: Worker,
+    choice: Choice,
+) -> float | None:
+    """Cost by the slowdown of the task and the harm to what serves."""
+    whole = max(1, worker.capacity.cpu_millicores)
+    serving = worker.serving_cpu / whole * _SERVING_USE_SHARE
+    plain = (worker.cpu_used - worker.serving_cpu) / whole
+    own = request.cpu_millicores / whole
+    used = plain + worker.fill_cpu / whole + serving + own
+    if used > _FILL_LIMIT_SHARE and worker.fill_cpu:
+        return None
+    harm = harm_of(request, worker, choice.model)
+    if harm > _HARM_FLOOR and not choice.may_harm:
+        return None
+    return used + _HARM_COST * harm + _OVERFULL_COST * max(0, used - 1)
+
+
+def harm_of(
+    request: StepRequest,
+    worker: Worker,
+    model: InterferenceModel,
+) -> float:
+    """Return how many more serving tasks a filling task is expected to harm.
+
+    A tail that is over its target already gets no worse by this measure, so
+    what has to do harm gathers on few workers.
+    """
+    whole = max(1, worker.capacity.cpu_millicores)
+    before = [
+        Pressure(run.step.image, run.step.cpu_millicores / whole)
+        for run in worker.filling_runs()
+    ]
+    after = [*before, Pressure(request.image, request.cpu_millicores / whole)]
+    images = Counter(run.step.image for run in worker.serving_runs())
+    return sum(
+        count
+        * (
+            _over_part(model.tail_share(image, after))
+            - _over_part(model.tail_share(image, before))
+        )
+        for image, count in images.items()
+    )
+
+
+def _over_part(tail_share: float) -> float:
+    """Return 0 for a safe tail, 1 for one that is surely over its target."""
+    part = (tail_share - _SAFE_TAIL_SHARE) / (_LOST_TAIL_SHARE - _SAFE_TAIL_SHARE)
+    return min(1, max(0, part))
+
+
+def _serving_cost(task: Task, worker: Worker) -> float:
+    """Pack what serves, by job, and keep it away from what fills.
+
+    A job is measured by the share of its tasks that are well, so one that
+    suffers as a whole costs less than many that suffer in part.
+    """
+    whole = max(1, worker.capacity.cpu_millicores)
+    filling = worker.fill_cpu / whole
+    cost = _FILL_BESIDE_SERVING_COST * filling - worker.serving_cpu / whole
+    if worker.count_of(task.step):
+        cost -= _TOGETHER_GAIN
+    return cost
+
+
+def _plain_cost(worker: Worker) -> float:
+    whole = max(1, worker.capacity.cpu_millicores)
+    filling = worker.fill_cpu / whole
+    serving = worker.serving_cpu / whole * _SERVING_USE_SHARE
+    plain = (worker.cpu_used - worker.serving_cpu) / whole
+    return plain + filling + serving
+
+
 def _choose_all(
     tasks: Sequence[Task],
     fleet: Fleet,
     usable: Sequence[Worker],
-    now_s: float,
+    choice: Choice,
 ) -> list[tuple[Task, Worker]] | None:
     chosen: list[tuple[Task, Worker]] = []
     placeholders: list[Run] = []
     for task in tasks:
-        worker = choose_worker(task, usable, avoid=frozenset(), now_s=now_s)
+        worker = choose_worker(task, usable, choice)
         if worker is None:
             break
         chosen.append((task, worker))
-        placeholders.append(_placeholder(task, worker, now_s))
+        placeholders.append(_placeholder(task, worker, choice.now_s))
         worker.add(placeholders[-1])
     for run in placeholders:
         fleet.release(run)
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -8,10 +8,15 @@
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.scheduling import ordering, placement
 from marjoramwharf.scheduling.fleet import Fleet, Worker
+from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_book import JobBook, gang_of
 from marjoramwharf.scheduling.job_state import Run, Step, Task
+from marjoramwharf.scheduling.placement import Choice
 from marjoramwharf.scheduling.policy import QueuePolicy
 
+# A step with less time to spare starts even where it is expected to disturb.
+_PRESSING_SLACK_MS = 700
+
 # Tickets by worker for a step; ``None`` where the queue needs none.
 Tickets = Mapping[WorkerId, str]
 TicketSource = Callable[[Step], Tickets | None]
@@ -23,6 +28,7 @@
 
     book: JobBook
     fleet: Fleet
+    model: InterferenceModel
     tickets: TicketSource
 
     def plan(
@@ -51,10 +57,15 @@
             for number, group in enumerate(groups)
         )
         planned: list[Run] = []
-        for _, number in ranked:
+        for rank, number in ranked:
             group = groups[number]
             queue = ordering.queue_of(group[0], queues)
-            planned.extend(self._place_group(group, queue.service, now_s))
+            choice = Choice(
+                self.model,
+                now_s,
+                may_harm=rank[1] < _PRESSING_SLACK_MS,
+            )
+            planned.extend(self._place_group(group, queue.service, choice))
         return planned
 
     def duplicate(
@@ -66,12 +77,10 @@
     ) -> Run | None:
         """Plan one more run of a task on a worker that runs none of it."""
         taken = frozenset(run.worker_id for run in task.runs.values())
-        candidates = self._candidates(task, service)
         worker = placement.choose_worker(
             task,
-            candidates,
-            avoid=taken,
-            now_s=now_s,
+            self._candidates(task, service),
+            Choice(self.model, now_s, avoid=taken),
         )
         return None if worker is None else self._place(task, worker, now_s)
 
@@ -79,43 +88,37 @@
         self,
         group: Sequence[Task],
         service: str,
-        now_s: float,
+        choice: Choice,
     ) -> list[Run]:
         candidates = self._candidates(group[0], service)
         if group[0].step.request.is_gang:
-            return self._place_gang(group[0], candidates, now_s)
+            return self._place_gang(group[0], candidates, choice)
         if group[0].step.request.needs_one_rack:
             candidates = _rack_first(group[0].step, candidates)
         planned: list[Run] = []
         for task in group:
-            worker = placement.choose_worker(
-                task,
-                candidates,
-                avoid=frozenset(),
-                now_s=now_s,
-            )
+            worker = placement.choose_worker(task, candidates, choice)
             if worker is None:
                 break
-            planned.append(self._place(task, worker, now_s))
+            planned.append(self._place(task, worker, choice.now_s))
         return planned
 
     def _place_gang(
         self,
         first: Task,
         candidates: Sequence[Worker],
-        now_s: float,
+        choice: Choice,
     ) -> list[Run]:
         tasks = gang_of(first)
         chosen = placement.choose_workers(
             tasks,
             self.fleet,
             candidates,
-            reserve=first.step.request.needs_one_rack,
-            now_s=now_s,
+            choice,
         )
         number = 1 + max(task.last_run for task in tasks)
         return [
-            self._place(task, worker, now_s, number=number)
+            self._place(task, worker, choice.now_s, number=number)
             for task, worker in chosen or ()
         ]
 
