--- /dev/null
+++ b/src/marjoramwharf/cells/inbox.py
@@ -0,0 +1,113 @@
+"""What entries write for the owner of a cell: requests and cancellations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from marjoramwharf.cells.clocks import boot_s, wall_ms
+from marjoramwharf.cells.records import (
+    CellId,
+    ProgressRecord,
+    cancel_key,
+    decode,
+    inbox_prefix,
+    progress_prefix,
+    request_key,
+    restore_job,
+)
+from marjoramwharf.ids import JobId
+from marjoramwharf.links.store import PollingStore, StoredValue, WatchBatch
+from marjoramwharf.logs import part_logger
+from marjoramwharf.scheduling.job_book import JobBook
+from marjoramwharf.scheduling.job_state import Job
+from marjoramwharf.scheduling.workload import JobRequest
+
+_LOG = part_logger('inbox')
+
+_Progress = dict[JobId, tuple[ProgressRecord, int]]
+
+
+@dataclass(slots=True)
+class Inbox:
+    """Takes requests and cancellations into the book of a cell.
+
+    ``on_cancelled`` is called for each job that was open until then, and
+    ``on_change`` after each batch.
+    """
+
+    cell: CellId
+    book: JobBook
+    on_cancelled: Callable[[Job], None]
+    on_change: Callable[[], None]
+    _cancelled: set[JobId] = field(default_factory=set)
+
+    async def load(self, store: PollingStore) -> None:
+        """Read all jobs and their progress; raises store failures."""
+        progress = await self._read_progress(store)
+        found = (await store.read_prefix(inbox_prefix(self.cell))).found
+        now_s = boot_s()
+        now_ms = wall_ms()
+        for stored in found:
+            request = self._request_of(stored)
+            if request is not None:
+                record, revision = progress.get(request.job_id, (None, 0))
+                job = restore_job(
+                    request,
+                    record,
+                    revision=revision,
+                    now_s=now_s,
+                )
+                self.book.adopt(job, now_s=now_s, now_ms=now_ms)
+        self.book.advance(now_s=now_s, now_ms=now_ms)
+        for stored in found:
+            self._take_cancel(stored.key)
+
+    async def apply(self, batch: WatchBatch) -> None:
+        """Take in what entries have written since."""
+        now_s = boot_s()
+        now_ms = wall_ms()
+        for event in batch.events:
+            if event.stored is None:
+                continue
+            request = self._request_of(event.stored)
+            if request is not None:
+                self.book.add(request, now_s=now_s, now_ms=now_ms)
+                if request.job_id in self._cancelled:
+                    self._cancel(request.job_id)
+            self._take_cancel(event.key)
+        self.on_change()
+
+    def forget(self, job_id: JobId) -> None:
+        """Drop what is kept of a job."""
+        self._cancelled.discard(job_id)
+
+    async def _read_progress(self, store: PollingStore) -> _Progress:
+        prefix = progress_prefix(self.cell)
+        found: _Progress = {}
+        for stored in (await store.read_prefix(prefix)).found:
+            record = decode(stored.body, ProgressRecord, key=stored.key)
+            job_id = JobId(stored.key.removeprefix(prefix))
+            found[job_id] = (record, stored.mod_revision)
+        return found
+
+    def _request_of(self, stored: StoredValue) -> JobRequest | None:
+        """Return the request that a key of the inbox holds, if any."""
+        if not stored.key.startswith(request_key(self.cell, JobId(''))):
+            return None
+        return decode(stored.body, JobRequest, key=stored.key)
+
+    def _take_cancel(self, key: str) -> None:
+        prefix = cancel_key(self.cell, JobId(''))
+        if key.startswith(prefix):
+            job_id = JobId(key.removeprefix(prefix))
+            self._cancelled.add(job_id)
+            self._cancel(job_id)
+
+    def _cancel(self, job_id: JobId) -> None:
+        known = self.book.jobs.get(job_id)
+        if known is None or not known.is_open:
+            return
+        _LOG.info('job cancelled', job=job_id)
+        self.book.cancel(job_id, now_s=boot_s())
+        self.on_cancelled(known)
--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -12,9 +12,16 @@
 
 import trio
 
-from marjoramwharf.cells import records
 from marjoramwharf.cells.owner_link import CellSource, OwnerLink
-from marjoramwharf.cells.records import CellId, ProgressRecord
+from marjoramwharf.cells.records import (
+    CellId,
+    ProgressRecord,
+    cancel_key,
+    decode,
+    encode,
+    progress_key,
+    request_key,
+)
 from marjoramwharf.cells.status import ShownState
 from marjoramwharf.errors import Failure, StoreAnswerLost, StoreUnavailable
 from marjoramwharf.ids import JobId
@@ -70,8 +77,8 @@
         deadline_s: float,
     ) -> Submission:
         """Store a job; a repeat of a known one is accepted again."""
-        key = records.request_key(self.cell, request.job_id)
-        write = Write(key, records.encode(request))
+        key = request_key(self.cell, request.job_id)
+        write = Write(key, encode(request))
         is_unknown = False
         while True:
             try:
@@ -115,10 +122,10 @@
         revision = await self._revision_of(job_id)
         if revision is None:
             return False
-        cancel = records.cancel_key(self.cell, job_id)
+        cancel = cancel_key(self.cell, job_id)
         outcome = await self.store.commit(
             [
-                Guard(records.request_key(self.cell, job_id), revision),
+                Guard(request_key(self.cell, job_id), revision),
                 Guard(cancel, 0),
             ],
             [Write(cancel, b'1')],
@@ -135,7 +142,7 @@
         """
         cell = self.local()
         if cell is not None and cell.is_loaded:
-            return cell.waiting_count(queue)
+            return cell.book.waiting_count(queue)
         return await self.owner.waiting_count(queue)
 
     def _note(
@@ -158,21 +165,21 @@
 
     async def _read_status(self, job_id: JobId) -> ShownState | None:
         stored = await self.store.read(
-            records.request_key(self.cell, job_id),
+            request_key(self.cell, job_id),
         )
         if stored is None:
             return None
         progress = await self.store.read(
-            records.progress_key(self.cell, job_id),
+            progress_key(self.cell, job_id),
         )
         cancelled = await self.store.read(
-            records.cancel_key(self.cell, job_id),
+            cancel_key(self.cell, job_id),
         )
         return _shown(progress, is_cancelled=cancelled is not None)
 
     async def _revision_of(self, job_id: JobId) -> int | None:
         stored = await self.store.read(
-            records.request_key(self.cell, job_id),
+            request_key(self.cell, job_id),
         )
         return None if stored is None else stored.mod_revision
 
@@ -200,7 +207,7 @@
     if progress is None:
         record = ProgressRecord(JobPhase.OPEN)
     else:
-        record = records.decode(
+        record = decode(
             progress.body,
             ProgressRecord,
             key=progress.key,
--- a/src/marjoramwharf/cells/owner_link.py
+++ b/src/marjoramwharf/cells/owner_link.py
@@ -40,20 +40,11 @@
     identity: PeerIdentity
     timeout_s: float
     _client: PeerClient | None = None
-    _known: KnownOwner | None = None
 
     async def run(self) -> None:
         """Follow the owner until cancelled."""
         while True:
-            known = self.view.owners.get(self.cell)
-            async with trio.open_nursery() as nursery:
-                if known is not None and not self._is_self(known):
-                    self._client = self._connect(known)
-                    nursery.start_soon(self._client.run)
-                while self.view.owners.get(self.cell) == known:
-                    await self.view.wait_change()
-                self._client = None
-                nursery.cancel_scope.cancel()
+            await self._follow_owner(self.view.owners.get(self.cell))
 
     async def status(self, job_id: JobId) -> ShownState | None:
         """Return the state of a job, ``None`` if the owner knows none."""
@@ -67,6 +58,17 @@
         reply = await self._call(_WAITING, queue)
         return int(reply.body)
 
+    async def _follow_owner(self, known: KnownOwner | None) -> None:
+        """Keep the connection to one owner for as long as it is named."""
+        async with trio.open_nursery() as nursery:
+            if known is not None and not self._is_self(known):
+                self._client = self._connect(known)
+                nursery.start_soon(self._client.run)
+            while self.view.owners.get(self.cell) == known:
+                await self.view.wait_change()
+            self._client = None
+            nursery.cancel_scope.cancel()
+
     async def _call(self, method: str, argument: str) -> Message:
         client = self._client
         if client is None:
@@ -100,11 +102,11 @@
 ) -> Message:
     """Answer a call of an entry; raises ``NotOwner`` if the cell is not ours."""
     cell = source()
-    if cell is None or not cell.is_loaded or cell.cell_id != call.shard:
+    if cell is None or not cell.is_loaded or cell.mandate.cell != call.shard:
         raise NotOwner(message=f'cell {call.shard} is not owned here')
     argument = call.body.decode()
     if call.method == _WAITING:
-        count = cell.waiting_count(argument)
+        count = cell.book.waiting_count(argument)
         return ttypes.JobReply(status=_FOUND, body=str(count).encode())
     state = cell.status(JobId(argument))
     if state is None:
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -11,8 +11,7 @@
 
 from typing import NewType, TypeVar
 
-import msgspec
-from msgspec import Struct
+from msgspec import DecodeError, Struct, msgpack
 
 from marjoramwharf.errors import JournalDamaged
 from marjoramwharf.ids import JobId, WorkerId
@@ -105,14 +104,14 @@
 
 def encode(record: Struct) -> bytes:
     """Return the stored form of a record."""
-    return msgspec.msgpack.encode(record)
+    return msgpack.encode(record)
 
 
 def decode(raw: bytes, model: type[_Model], *, key: str) -> _Model:
     """Return the record of a stored value; raises ``JournalDamaged``."""
     try:
-        return msgspec.msgpack.decode(raw, type=model)
-    except (msgspec.DecodeError, RecursionError, UnicodeError) as failure:
+        return msgpack.decode(raw, type=model)
+    except (DecodeError, RecursionError, UnicodeError) as failure:
         raise JournalDamaged(message=f'{key}: {failure}') from failure
 
 
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -83,21 +82,31 @@
         """Whether this entry may still extend leases."""
 
 
+@dataclass(frozen=True, slots=True)
+class LinkTerms:
+    """What all links of a cell share.
+
+    ``hold_ms`` is the length of a lease, and ``stop_ms`` bounds a stop.
+    """
+
+    calls: WorkerCalls
+    fence: int
+    hold_ms: int
+    stop_ms: int
+
+
 @dataclass(slots=True, eq=False)
 class WorkerLink:
     """Holds one worker for the owner of its cell.
 
-    ``hold_ms`` is the length of a lease. ``noted_end`` is the last end that
+    ``noted_end`` is the last end that
     is stored, and ``taken_end`` the last that was taken in. ``is_urgent``
     asks for frequent looks.
     """
 
     worker: Worker
-    calls: WorkerCalls
     owner: LinkOwner
-    fence: int
-    hold_ms: int
-    stop_ms: int
+    terms: LinkTerms
     clock: WorkerClock = field(default_factory=WorkerClock)
     noted_end: int = 0
     taken_end: int = 0
@@ -160,9 +169,9 @@
         if run.phase in {RunPhase.STOPPING, RunPhase.ENDED}:
             return
         run.phase = RunPhase.STOPPING
-        order = StopOrder(run.task.name, run.number, self.fence)
+        order = StopOrder(run.task.name, run.number, self.terms.fence)
         while self.owner.find_run(run.task.name, run.number) is run:
-            answer = await self.calls.stop(
+            answer = await self.terms.calls.stop(
                 self.address,
                 order,
                 timeout_s=_ORDER_TIMEOUT_S,
@@ -178,8 +187,8 @@
 
     async def pace(self, run: Run, percent: int) -> None:
         """Let a run work at a share of its speed; one attempt."""
-        order = PaceOrder(run.task.name, run.number, percent, self.fence)
-        answer = await self.calls.pace(
+        order = PaceOrder(run.task.name, run.number, percent, self.terms.fence)
+        answer = await self.terms.calls.pace(
             self.address,
             order,
             timeout_s=_ORDER_TIMEOUT_S,
@@ -190,17 +199,17 @@
 
     async def _send_start(self, run: Run) -> OrderAnswer:
         now_s = boot_s()
-        expires_ms = self.clock.grant(self.hold_ms, now_s=now_s)
+        expires_ms = self.clock.grant(self.terms.hold_ms, now_s=now_s)
         if expires_ms is None:
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        answer = await self.calls.start(
+        answer = await self.terms.calls.start(
             self.address,
             StartOrder(
                 task=run.task.name,
                 run=run.number,
                 payload=job_of(run.task).request.payload,
                 expires_ms=expires_ms,
-                fence=self.fence,
+                fence=self.terms.fence,
                 checkpoint=run.task.checkpoint,
                 ticket=run.ticket,
             ),
@@ -233,12 +242,12 @@
             return
         sent_s = boot_s()
         wait_ms = self._wait_ms()
-        report = await self.calls.hold(
+        report = await self.terms.calls.hold(
             self.address,
             HoldOrder(
-                fence=self.fence,
+                fence=self.terms.fence,
                 noted_end=self.noted_end,
-                expires_ms=self.clock.grant(self.hold_ms, now_s=sent_s),
+                expires_ms=self.clock.grant(self.terms.hold_ms, now_s=sent_s),
                 wait_ms=wait_ms,
             ),
             timeout_s=wait_ms / 1_000 + _HOLD_SLACK_S,
@@ -403,15 +412,15 @@
         nursery.start_soon(self._send_stray_stop, row)
 
     async def _send_stray_stop(self, row: RunReport) -> None:
-        await self.calls.stop(
+        await self.terms.calls.stop(
             self.address,
-            StopOrder(row.task, row.run, self.fence),
+            StopOrder(row.task, row.run, self.terms.fence),
             timeout_s=_ORDER_TIMEOUT_S,
         )
 
     def _take_absence(self, run: Run, sent_s: float) -> None:
         """End a run that neither runs nor ended at the time of a look."""
-        if not _is_over(run, sent_s, self.stop_ms):
+        if not _is_over(run, sent_s, self.terms.stop_ms):
             return
         if run.phase is RunPhase.RUNNING:
             _LOG.warning('run vanished', task=run.task.name, run=run.number)
@@ -437,5 +446,3 @@
     if run.phase is RunPhase.STOPPING and run.stop_answered_s is not None:
         return run.stop_answered_s + stop_ms / 1_000 < sent_s
     return False
-
-
--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -20,7 +20,8 @@
 import h11
 import trio
 
-_CHUNK_BYTES = 65_536
+from marjoramwharf.links.http_events import next_event, read_body
+
 _DEFAULT_PORT = 80
 
 # A connection that was idle for longer is not used again: the other side may
@@ -201,23 +202,14 @@
 
 
 async def _read(connection: _Connection) -> Answer:
-    status = 0
-    headers: dict[str, str] = {}
-    body = bytearray()
-    while True:
-        event = connection.protocol.next_event()
-        if event is h11.NEED_DATA:
-            chunk = await connection.stream.receive_some(_CHUNK_BYTES)
-            connection.protocol.receive_data(chunk)
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-            headers = _decoded(event)
-        elif isinstance(event, h11.Data):
-            body.extend(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            return Answer(status, headers, bytes(body))
-        elif isinstance(event, h11.ConnectionClosed):
-            raise h11.RemoteProtocolError('closed before the answer')
+    stream = connection.stream
+    event = await next_event(stream, connection.protocol)
+    while isinstance(event, h11.InformationalResponse):
+        event = await next_event(stream, connection.protocol)
+    if not isinstance(event, h11.Response):
+        raise h11.RemoteProtocolError('closed before the answer')
+    body = await read_body(stream, connection.protocol)
+    return Answer(event.status_code, _decoded(event), body)
 
 
 def _decoded(response: h11.Response) -> dict[str, str]:
--- /dev/null
+++ b/src/marjoramwharf/links/http_events.py
@@ -0,0 +1,47 @@
+"""Reading of HTTP/1.1 events from a stream, for client and server."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import h11
+import trio
+
+_CHUNK_BYTES = 65_536
+
+
+class TooLarge(Exception):
+    """A body is larger than allowed."""
+
+
+async def next_event(stream: trio.abc.Stream, protocol: h11.Connection) -> Any:
+    """Return the next event, reading as much as it needs."""
+    event = protocol.next_event()
+    while event is h11.NEED_DATA:
+        chunk = await stream.receive_some(_CHUNK_BYTES)
+        protocol.receive_data(bytes(chunk))
+        event = protocol.next_event()
+    return event
+
+
+async def read_body(
+    stream: trio.abc.Stream,
+    protocol: h11.Connection,
+    *,
+    limit_bytes: int | None = None,
+) -> bytes:
+    """Return the rest of a message.
+
+    Raises ``h11.RemoteProtocolError`` if it was cut and ``TooLarge`` if it
+    has more than ``limit_bytes``.
+    """
+    body = bytearray()
+    event = await next_event(stream, protocol)
+    while isinstance(event, h11.Data):
+        body.extend(event.data)
+        if limit_bytes is not None and len(body) > limit_bytes:
+            raise TooLarge
+        event = await next_event(stream, protocol)
+    if not isinstance(event, h11.EndOfMessage):
+        raise h11.RemoteProtocolError('the message was cut')
+    return bytes(body)
--- a/src/marjoramwharf/links/http_server.py
+++ b/src/marjoramwharf/links/http_server.py
@@ -17,11 +17,14 @@
 import h11
 import trio
 
+from marjoramwharf.links.http_events import TooLarge, read_body
 from marjoramwharf.logs import part_logger
 
 _LOG = part_logger('http')
 _CHUNK_BYTES = 65_536
 _BACKLOG_COUNT = 512
+_TIMED_OUT = 408
+_TOO_LARGE = 413
 
 HeaderMap = Mapping[str, str]
 
@@ -138,32 +141,28 @@
         head = await self._read_head(stream, protocol)
         if head is None:
             return None
-        body = bytearray()
-        with trio.move_on_after(self.limits.header_timeout_s):
-            while True:
-                event = protocol.next_event()
-                if event is h11.NEED_DATA:
-                    protocol.receive_data(
-                        await stream.receive_some(_CHUNK_BYTES),
-                    )
-                elif isinstance(event, h11.Data):
-                    body.extend(event.data)
-                    if len(body) > self.limits.body_bytes:
-                        raise _Refused(413)
-                elif isinstance(event, h11.EndOfMessage):
-                    return HttpRequest(
-                        method=head.method.decode('ascii'),
-                        target=head.target.decode('latin-1'),
-                        headers={
-                            name.decode(): text.decode('latin-1')
-                            for name, text in head.headers
-                        },
-                        body=bytes(body),
-                        arrived_s=trio.current_time(),
-                    )
-                else:
-                    return None
-        raise _Refused(408)
+        body: bytes | None = None
+        try:
+            with trio.move_on_after(self.limits.header_timeout_s):
+                body = await read_body(
+                    stream,
+                    protocol,
+                    limit_bytes=self.limits.body_bytes,
+                )
+        except TooLarge as failure:
+            raise _Refused(_TOO_LARGE) from failure
+        if body is None:
+            raise _Refused(_TIMED_OUT)
+        return HttpRequest(
+            method=head.method.decode('ascii'),
+            target=head.target.decode('latin-1'),
+            headers={
+                name.decode(): text.decode('latin-1')
+                for name, text in head.headers
+            },
+            body=body,
+            arrived_s=trio.current_time(),
+        )
 
     async def _read_head(
         self,
@@ -183,9 +182,8 @@
                 if event is not h11.NEED_DATA:
                     return None
                 self._mark_idle(scope, protocol)
-                chunk = await stream.receive_some(_CHUNK_BYTES)
+                await _receive(stream, protocol)
                 self._idle_scopes.discard(scope)
-                protocol.receive_data(chunk)
         self._idle_scopes.discard(scope)
         return None
 
@@ -207,6 +205,13 @@
     return trio.SocketListener(opened)
 
 
+async def _receive(
+    stream: trio.abc.Stream,
+    protocol: h11.Connection,
+) -> None:
+    protocol.receive_data(bytes(await stream.receive_some(_CHUNK_BYTES)))
+
+
 async def _send(
     stream: trio.abc.Stream,
     protocol: h11.Connection,
--- a/src/marjoramwharf/platform/kv_store.py
+++ b/src/marjoramwharf/platform/kv_store.py
@@ -12,8 +12,7 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-import msgspec
-from msgspec import Struct, field
+from msgspec import DecodeError, Raw, Struct, field, json
 
 from marjoramwharf.errors import (
     HistoryLost,
@@ -228,7 +227,7 @@
         return answer
 
     async def _post(self, path: str, body: Struct | None) -> Answer:
-        sent = b'{}' if body is None else msgspec.json.encode(body)
+        sent = b'{}' if body is None else json.encode(body)
         return await self._write('POST', path, sent)
 
     async def _write(self, method: str, path: str, body: bytes) -> Answer:
@@ -256,7 +255,7 @@
 def _exists(answer: Answer) -> bool:
     if answer.status == _NOT_FOUND:
         return False
-    _decoded(answer, msgspec.Raw)
+    _decoded(answer, Raw)
     return True
 
 
@@ -267,7 +266,7 @@
         raise StoreRefused(message=f'status {answer.status}: {text}')
     try:
         return decode_json(answer.body or b'null', model)
-    except msgspec.DecodeError as failure:
+    except DecodeError as failure:
         raise StoreRefused(message=f'unreadable: {failure}') from failure
 
 
--- a/src/marjoramwharf/platform/worker_calls.py
+++ b/src/marjoramwharf/platform/worker_calls.py
@@ -5,8 +5,7 @@
 import enum
 from typing import Any
 
-import msgspec
-from msgspec import DecodeError, Struct
+from msgspec import DecodeError, Struct, field, json
 
 from marjoramwharf.cells.worker_messages import (
     EndReport,
@@ -120,9 +119,9 @@
 
 
 class _Lists(Struct, frozen=True):
-    clock_ms: int = msgspec.field(name='ClockMs')
-    running: tuple[_RunRow, ...] = msgspec.field(default=(), name='Running')
-    ended: tuple[_EndRow, ...] = msgspec.field(default=(), name='Ended')
+    clock_ms: int = field(name='ClockMs')
+    running: tuple[_RunRow, ...] = field(default=(), name='Running')
+    ended: tuple[_EndRow, ...] = field(default=(), name='Ended')
     born: int = 0
 
 
@@ -231,7 +230,7 @@
                     'Content-Type': 'application/json',
                     _INCARNATION_HEADER: worker.worker_id,
                 },
-                body=msgspec.json.encode(body),
+                body=json.encode(body),
                 timeout_s=timeout_s,
             )
         except NotConnected:
--- a/src/marjoramwharf/platform/worker_entries.py
+++ b/src/marjoramwharf/platform/worker_entries.py
@@ -67,15 +67,14 @@
     try:
         entry = decode_json(raw, _Entry)
         birth = decode_json(raw, _Birth)
-        host, _, port = entry.address.rpartition(':')
-        port_number = int(port)
+        host, port = _split_address(entry.address)
     except (DecodeError, ValueError) as failure:
         raise BadListing(message=f'{key}: {failure}') from failure
     return WorkerListing(
         worker_id=worker_id_of(key),
         service=entry.service,
         host=host,
-        port=port_number,
+        port=port,
         data_centre=DataCentreId(entry.zone),
         state=_STATES[entry.state],
         capacity=Room(
@@ -88,3 +87,8 @@
         remaining_ms=entry.remaining_ms,
         machine=entry.machine,
     )
+
+
+def _split_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(':')
+    return (host, int(port))
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from marjoramwharf.cells.cell import Cell, CellParts
+from marjoramwharf.cells.cell import Cell, CellParts, Mandate
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.config_keeper import ConfigKeeper
 from marjoramwharf.cells.intake import Intake
@@ -169,7 +169,15 @@
     async def run_cell(self, tenure: Tenure) -> None:
         """Own the cell until the tenure ends."""
         cell = Cell(
-            cell_id=tenure.cell,
+            mandate=Mandate(
+                cell=tenure.cell,
+                guard=tenure.guard,
+                is_current=lambda: tenure.is_current(boot_s()),
+                may_extend=lambda: tenure.is_current(
+                    boot_s() - _HOLD_AFTER_LAPSE_S,
+                ),
+                give_up=tenure.scope.cancel,
+            ),
             parts=CellParts(
                 store=self.store,
                 calls=PlatformWorkerCalls(self.client),
@@ -179,12 +187,6 @@
                 bounds=self.place.bounds,
                 hold_ms=round(self.place.bounds.max_hold_ms * _HOLD_SHARE),
             ),
-            owner=tenure.guard,
-            is_current=lambda: tenure.is_current(boot_s()),
-            may_extend=lambda: tenure.is_current(
-                boot_s() - _HOLD_AFTER_LAPSE_S,
-            ),
-            on_superseded=tenure.scope.cancel,
         )
         self.cell = cell
         try:
--- a/src/marjoramwharf/scheduling/pacing.py
+++ b/src/marjoramwharf/scheduling/pacing.py
@@ -105,9 +105,7 @@
         filling: Sequence[Run],
     ) -> Mapping[Run, int]:
         """Pause the runs to blame until the tails are expected back."""
-        excess = {
-            run: math.log(_tail_share(run) / _GOAL_SHARE) for run in over
-        }
+        excess = {run: math.log(_tail_share(run) / _GOAL_SHARE) for run in over}
         paused: dict[Run, int] = {}
         for run in sorted(filling, key=self._blame_by(over), reverse=True):
             if max(excess.values()) <= 0:
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -43,7 +44,6 @@
 _FILL_LIMIT_SHARE = 1.0
 
 
-
 @dataclass(frozen=True, slots=True)
 class Choice:
     """What a choice depends on besides the task and the workers.
@@ -65,14 +65,10 @@
 ) -> Worker | None:
     """Return the cheapest worker that may run a task now, if there is one."""
     best: Worker | None = None
-    best_cost: float = 0
+    best_cost = math.inf
     for worker in workers:
-        if worker.worker_id in choice.avoid:
-            continue
-        if not may_run(task, worker, choice.now_s):
-            continue
-        cost = cost_of(task, worker, choice)
-        if cost is not None and (best is None or cost < best_cost):
+        cost = _allowed_cost(task, worker, choice)
+        if cost < best_cost:
             best = worker
             best_cost = cost
     return best
@@ -90,10 +86,10 @@
     return not label or label in worker.listing.labels
 
 
-def cost_of(task: Task, worker: Worker, choice: Choice) -> float | None:
+def cost_of(task: Task, worker: Worker, choice: Choice) -> float:
     """Return how much a choice costs its own job and its neighbours.
 
-    ``None`` means that the task should rather wait.
+    An infinite cost means that the task should rather wait.
     """
     request = task.step.request
     now_s = choice.now_s
@@ -103,8 +99,6 @@
         load_cost = _serving_cost(task, worker)
     else:
         load_cost = _plain_cost(worker)
-    if load_cost is None:
-        return None
     cost = load_cost + _FAILURE_COST * worker.failures_at(now_s)
     if worker.suspect_until_s > now_s:
         cost += _SUSPECT_COST
@@ -139,11 +133,19 @@
     return None
 
 
+def _allowed_cost(task: Task, worker: Worker, choice: Choice) -> float:
+    if worker.worker_id in choice.avoid:
+        return math.inf
+    if not may_run(task, worker, choice.now_s):
+        return math.inf
+    return cost_of(task, worker, choice)
+
+
 def _fill_cost(
     request: StepRequest,
     worker: Worker,
     choice: Choice,
-) -> float | None:
+) -> float:
     """Cost by the slowdown of the task and the harm to what serves."""
     whole = max(1, worker.capacity.cpu_millicores)
     serving = worker.serving_cpu / whole * _SERVING_USE_SHARE
@@ -151,10 +153,10 @@
     own = request.cpu_millicores / whole
     used = plain + worker.fill_cpu / whole + serving + own
     if used > _FILL_LIMIT_SHARE and worker.fill_cpu:
-        return None
+        return math.inf
     harm = harm_of(request, worker, choice.model)
     if harm > _HARM_FLOOR and not choice.may_harm:
-        return None
+        return math.inf
     return used + _HARM_COST * harm + _OVERFULL_COST * max(0, used - 1)
 
 
@@ -187,7 +189,9 @@
 
 def _over_part(tail_share: float) -> float:
     """Return 0 for a safe tail, 1 for one that is surely over its target."""
-    part = (tail_share - _SAFE_TAIL_SHARE) / (_LOST_TAIL_SHARE - _SAFE_TAIL_SHARE)
+    part = (tail_share - _SAFE_TAIL_SHARE) / (
+        _LOST_TAIL_SHARE - _SAFE_TAIL_SHARE
+    )
     return min(1, max(0, part))
 
 
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -6,12 +6,16 @@
 from dataclasses import dataclass
 
 from marjoramwharf.ids import WorkerId
-from marjoramwharf.scheduling import ordering, placement
+from marjoramwharf.scheduling import ordering
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_book import JobBook, gang_of
 from marjoramwharf.scheduling.job_state import Run, Step, Task
-from marjoramwharf.scheduling.placement import Choice
+from marjoramwharf.scheduling.placement import (
+    Choice,
+    choose_worker,
+    choose_workers,
+)
 from marjoramwharf.scheduling.policy import QueuePolicy
 
 # A step with less time to spare starts even where it is expected to disturb.
@@ -77,7 +81,7 @@
     ) -> Run | None:
         """Plan one more run of a task on a worker that runs none of it."""
         taken = frozenset(run.worker_id for run in task.runs.values())
-        worker = placement.choose_worker(
+        worker = choose_worker(
             task,
             self._candidates(task, service),
             Choice(self.model, now_s, avoid=taken),
@@ -97,7 +101,7 @@
             candidates = _rack_first(group[0].step, candidates)
         planned: list[Run] = []
         for task in group:
-            worker = placement.choose_worker(task, candidates, choice)
+            worker = choose_worker(task, candidates, choice)
             if worker is None:
                 break
             planned.append(self._place(task, worker, choice.now_s))
@@ -110,7 +114,7 @@
         choice: Choice,
     ) -> list[Run]:
         tasks = gang_of(first)
-        chosen = placement.choose_workers(
+        chosen = choose_workers(
             tasks,
             self.fleet,
             candidates,
--- a/tools/load.py
+++ b/tools/load.py
@@ -18,7 +18,12 @@
 
 from tools.fleet import Address
 from tools.history import CallerOutcome, CallerRecord
-from marjoramwharf.links.http_client import Answer, CallFailed, LeanClient, NotConnected
+from marjoramwharf.links.http_client import (
+    Answer,
+    CallFailed,
+    LeanClient,
+    NotConnected,
+)
 
 _ATTEMPTS_LIMIT = 6
 _POLL_S = 0.3
