Gather filling tasks where least is served

Cause: filling tasks spread over all workers, so that at any time a third of the serving tasks of every job were over their targets, which counts four times. Change: the chance of harm counts by job and saturates; filling tasks go first to workers with the fewest serving tasks a free core; serving tasks are packed by job and image.

--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -25,20 +25,27 @@
 _OTHER_RACK_COST = 6.0
 _OVERFULL_COST = 3.0
 _HARM_COST = 1.0
+_SERVED_COST = 0.05
+_USED_COST = 0.05
+_OTHER_IMAGE_COST = 0.2
 _TOGETHER_GAIN = 0.3
 
-# Harm below this share of one task is no reason to wait.
-_HARM_FLOOR = 0.2
+# Harm to less than this many serving tasks is no reason to wait.
+_HARM_FLOOR = 0.6
 _FILL_BESIDE_SERVING_COST = 1.0
 
 # A serving task uses about this share of the processors that it reserves.
 _SERVING_USE_SHARE = 0.45
 
-# Share of its target up to which a tail is expected to do no harm.
-_SAFE_TAIL_SHARE = 0.85
+# Steepness of the chance that a tail is over its target: the logarithm of a
+# reading scatters by about one half.
+_SCATTER_POWER = 3.4
 
-# Share of its target from which on a tail is expected to be over it.
-_LOST_TAIL_SHARE = 1.25
+# Least share of a worker that counts as left by what serves there.
+_LEAST_LEFT_SHARE = 0.05
+
+# Tasks over their target count this many times against their job.
+_HARM_WEIGHT = 4
 
 # A worker takes filling tasks up to this share of its processors.
 _FILL_LIMIT_SHARE = 1.0
@@ -157,7 +164,14 @@
     harm = harm_of(request, worker, choice.model)
     if harm > _HARM_FLOOR and not choice.may_harm:
         return math.inf
-    return used + _HARM_COST * harm + _OVERFULL_COST * max(0, used - 1)
+    served = len(list(worker.serving_runs()))
+    left = max(_LEAST_LEFT_SHARE, 1 - plain - serving)
+    return (
+        _HARM_COST * harm
+        + _SERVED_COST * served / left
+        + _USED_COST * used
+        + _OVERFULL_COST * max(0, used - 1)
+    )
 
 
 def harm_of(
@@ -165,10 +179,10 @@
     worker: Worker,
     model: InterferenceModel,
 ) -> float:
-    """Return how many more serving tasks a filling task is expected to harm.
+    """Return how many more serving tasks a filling task is expected to spoil.
 
-    A tail that is over its target already gets no worse by this measure, so
-    what has to do harm gathers on few workers.
+    What is spoilt already can't be spoilt again, so filling tasks that
+    disturb gather on few workers, where they cost least.
     """
     whole = max(1, worker.capacity.cpu_millicores)
     before = [
@@ -180,30 +194,45 @@
     return sum(
         count
         * (
-            _over_part(model.tail_share(image, after))
-            - _over_part(model.tail_share(image, before))
+            _spoilt_share(model.tail_share(image, after))
+            - _spoilt_share(model.tail_share(image, before))
         )
         for image, count in images.items()
     )
 
 
-def _over_part(tail_share: float) -> float:
-    """Return 0 for a safe tail, 1 for one that is surely over its target."""
-    part = (tail_share - _SAFE_TAIL_SHARE) / (
-        _LOST_TAIL_SHARE - _SAFE_TAIL_SHARE
-    )
-    return min(1, max(0, part))
+def _spoilt_share(tail_share: float) -> float:
+    """Return the share of a serving task's use that is lost.
+
+    A task over its target counts several times, so a job is worth nothing
+    once a fraction of its tasks are.
+    """
+    return min(1, _HARM_WEIGHT * _over_chance(tail_share))
+
+
+def _over_chance(tail_share: float) -> float:
+    """Return the chance that a tail is over its target.
+
+    Readings scatter around the expected tail, so the chance rises smoothly.
+    """
+    return 1 / (1 + tail_share**-_SCATTER_POWER)
 
 
 def _serving_cost(task: Task, worker: Worker) -> float:
-    """Pack what serves, by job, and keep it away from what fills.
+    """Pack what serves, by job and by image, and keep it away from fills.
 
-    A job is measured by the share of its tasks that are well, so one that
-    suffers as a whole costs less than many that suffer in part.
+    Tasks of one image suffer from the same filling tasks, and a job that is
+    on few workers suffers as a whole or not at all.
     """
     whole = max(1, worker.capacity.cpu_millicores)
-    filling = worker.fill_cpu / whole
-    cost = _FILL_BESIDE_SERVING_COST * filling - worker.serving_cpu / whole
+    other = sum(
+        run.step.cpu_millicores
+        for run in worker.serving_runs()
+        if run.step.image != task.step.request.image
+    )
+    cost = _FILL_BESIDE_SERVING_COST * worker.fill_cpu / whole
+    cost += _OTHER_IMAGE_COST * other / whole
+    cost -= worker.serving_cpu / whole
     if worker.count_of(task.step):
         cost -= _TOGETHER_GAIN
     return cost
