Steeper chance of harm and later pauses

Cause: a safe tail counted as a 6% chance of harm, and a third of the filling tasks were paused at a time.

--- a/src/marjoramwharf/scheduling/pacing.py
+++ b/src/marjoramwharf/scheduling/pacing.py
@@ -22,8 +22,8 @@
 
 # A tail that is over its target for the first time pauses those to blame, and
 # for the second all filling work of the worker.
-_PAUSE_AFTER_S = 1.6
-_PAUSE_ALL_AFTER_S = 2.4
+_PAUSE_AFTER_S = 2.2
+_PAUSE_ALL_AFTER_S = 2.8
 
 # Readings cover the last half second.
 _READING_WINDOW_S = 0.5
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -25,13 +25,13 @@
 _OTHER_RACK_COST = 6.0
 _OVERFULL_COST = 3.0
 _HARM_COST = 1.0
-_SERVED_COST = 0.05
+_SERVED_COST = 0.01
 _USED_COST = 0.05
 _OTHER_IMAGE_COST = 0.2
 _TOGETHER_GAIN = 0.3
 
-# Harm to less than this many serving tasks is no reason to wait.
-_HARM_FLOOR = 0.6
+# Harm to less than one serving task is no reason to wait.
+_HARM_FLOOR = 1.0
 _FILL_BESIDE_SERVING_COST = 1.0
 
 # A serving task uses about this share of the processors that it reserves.
@@ -39,7 +39,7 @@
 
 # Steepness of the chance that a tail is over its target: the logarithm of a
 # reading scatters by about one half.
-_SCATTER_POWER = 3.4
+_SCATTER_POWER = 5.0
 
 # Least share of a worker that counts as left by what serves there.
 _LEAST_LEFT_SHARE = 0.05
