Track the own load of each serving task and stop adding work under a pause

Cause: tails of one image on one worker differ by 20 times at a time, since the own load of each task rises and falls within 10 s. Change: the undisturbed tail is tracked by task; the harm that a step may do grows as its slack shrinks; jobs that can hardly be on time let others go first.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -125,6 +125,7 @@
                 hold_ms=parts.hold_ms,
                 stop_ms=parts.bounds.stop_ms,
             ),
+            harm_s=parts.bounds.harm_ms / _MS_PER_S,
             on_change=self._plan_signal.set,
         )
         self._writer = ProgressWriter(
--- a/src/marjoramwharf/cells/worker_board.py
+++ b/src/marjoramwharf/cells/worker_board.py
@@ -33,7 +33,8 @@
 class WorkerBoard:
     """Keeps a link and a pace keeper for each listed worker.
 
-    ``decode`` raises a ``Failure`` for an entry that names no worker, and
+    ``harm_s`` is the time for which a tail may be over its target. ``decode``
+    raises a ``Failure`` for an entry that names no worker, and
     ``on_change`` is called when workers come, go or change.
     """
 
@@ -43,6 +44,7 @@
     model: InterferenceModel
     owner: LinkOwner
     terms: LinkTerms
+    harm_s: float
     on_change: Callable[[], None]
     fleet: Fleet = field(default_factory=Fleet)
     links: dict[WorkerId, WorkerLink] = field(default_factory=dict)
@@ -162,7 +164,11 @@
                 worker.add(run)
         link = WorkerLink(worker=worker, owner=self.owner, terms=self.terms)
         self.links[worker_id] = link
-        self._keepers[worker_id] = PaceKeeper(worker, self.model)
+        self._keepers[worker_id] = PaceKeeper(
+            worker,
+            self.model,
+            self.harm_s,
+        )
         if self._nursery is not None:
             self._nursery.start_soon(link.run)
 
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -6,11 +6,15 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from marjoramwharf.ids import DataCentreId, WorkerId
 from marjoramwharf.scheduling.job_state import Run, Step
 from marjoramwharf.scheduling.workload import StepRequest
 
+if TYPE_CHECKING:
+    from marjoramwharf.scheduling.tails import ExpectedTail
+
 # Share of its weight that a failure on a worker keeps after one second.
 _FAILURE_DECAY_PER_S = 0.85
 
@@ -66,7 +70,9 @@
 
     ``is_reachable`` says whether its latest look was answered. Nothing new is
     placed before ``not_before_s``. ``failure_weight`` is the decayed number of
-    runs that failed there.
+    runs that failed there. While the worker ``is_paused``, what fills there is
+    held back and nothing that fills is added. ``tails`` are kept by :mod:`scheduling.tails` and
+    valid while ``tails_version`` equals ``version``.
     """
 
     listing: WorkerListing
@@ -81,6 +87,10 @@
     accelerators_used: int = 0
     fill_cpu: int = 0
     serving_cpu: int = 0
+    is_paused: bool = False
+    version: int = 0
+    tails_version: int = -1
+    tails: tuple[ExpectedTail, ...] = ()
     runs: set[Run] = field(default_factory=set)
     step_counts: Counter[int] = field(default_factory=Counter)
 
@@ -140,7 +150,7 @@
         if step.accelerators_count > free_accelerators:
             return False
         if step.fills:
-            return True
+            return not self.is_paused
         return step.cpu_millicores <= (
             self.capacity.cpu_millicores - self.cpu_used
         )
@@ -166,7 +176,12 @@
         """Return the runs that take what the others leave unused."""
         return (run for run in self.runs if run.step.fills)
 
+    def touch(self) -> None:
+        """Note that readings or runs have changed."""
+        self.version += 1
+
     def _count(self, run: Run, sign: int) -> None:
+        self.touch()
         step = run.step
         self.memory_used += sign * step.memory_mb
         self.accelerators_used += sign * step.accelerators_count
--- a/src/marjoramwharf/scheduling/interference.py
+++ b/src/marjoramwharf/scheduling/interference.py
@@ -26,13 +26,18 @@
 
 # Variance of the logarithm of one reading, and what is added to a weight's
 # variance by each reading, so that the weights can still change later.
-_READING_VARIANCE = 0.4
+_READING_VARIANCE = 0.3
 _DRIFT_VARIANCE = 0.01
 
 # Share of its target that an undisturbed tail is expected to have, and the
 # weight of a new reading in the mean of undisturbed tails.
 _PRIOR_REST_SHARE = 0.45
-_REST_LEARNING_RATE = 0.05
+_REST_LEARNING_RATE = 0.02
+
+# Part of the error of an expected tail that is put down to the serving task's
+# own load, with and without filling tasks beside it.
+_DISTURBED_REST_RATE = 0.15
+_UNDISTURBED_REST_RATE = 0.6
 
 # A tail never reads below this share of the target for the model.
 _LEAST_SHARE = 0.1
@@ -99,7 +104,7 @@
         return _PRIOR_WEIGHT if known is None else known.weight(filling)
 
     def rest_share(self, serving: str) -> float:
-        """Return the undisturbed tail as a share of its target."""
+        """Return the usual undisturbed tail as a share of its target."""
         known = self._images.get(serving)
         return _PRIOR_REST_SHARE if known is None else known.rest_share
 
@@ -108,7 +113,7 @@
         serving: str,
         pressures: Iterable[Pressure],
     ) -> float:
-        """Return by how much the tail is expected to grow."""
+        """Return by how much a tail is expected to grow."""
         return math.exp(
             sum(
                 self.weight(pressure.image, serving) * pressure.share
@@ -116,30 +121,33 @@
             ),
         )
 
-    def tail_share(
-        self,
-        serving: str,
-        pressures: Iterable[Pressure],
-    ) -> float:
-        """Return the expected tail as a share of its target."""
-        return self.rest_share(serving) * self.tail_factor(serving, pressures)
-
     def observe(
         self,
         serving: str,
         pressures: Sequence[Pressure],
         *,
+        rest_share: float,
         tail_share: float,
-    ) -> None:
-        """Take in a tail, as a share of its target, and what caused it."""
+    ) -> float:
+        """Take in a tail, as a share of its target, and what caused it.
+
+        ``rest_share`` is the undisturbed tail that was expected of this very
+        task, whose own load rises and falls. Returns the new expectation.
+        """
         image = self._images.setdefault(serving, _ServingImage())
         seen_share = max(tail_share, _LEAST_SHARE)
-        if not pressures:
+        factor = self.tail_factor(serving, pressures)
+        error = math.log(seen_share / (rest_share * factor))
+        if pressures:
+            rest_rate = _DISTURBED_REST_RATE
+            shares: dict[str, float] = {}
+            for pressure in pressures:
+                known = shares.get(pressure.image, 0)
+                shares[pressure.image] = known + pressure.share
+            image.learn(shares, math.log(seen_share / rest_share))
+        else:
+            rest_rate = _UNDISTURBED_REST_RATE
             step = _REST_LEARNING_RATE * (min(seen_share, 1) - image.rest_share)
             image.rest_share += step
-            return
-        shares: dict[str, float] = {}
-        for pressure in pressures:
-            known = shares.get(pressure.image, 0)
-            shares[pressure.image] = known + pressure.share
-        image.learn(shares, math.log(seen_share / image.rest_share))
+        moved = rest_share * math.exp(rest_rate * error)
+        return min(max(moved, _LEAST_SHARE), 1)
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -71,7 +71,8 @@
     ``percent`` is the progress that the worker reports, and ``moved_s`` the
     last time at which it changed. ``reading`` is the tail latency in ms of a
     task that serves, and the processors in use (millicores) of any other.
-    ``pace_percent`` is the share of its speed at which it may work. The run
+    ``rest_share`` is the share of its target that an undisturbed tail takes,
+    0 if that is not known. ``pace_percent`` is the share of its speed at which it may work. The run
     may be ordered once ``planned_version`` of its job is stored. It
     ``is_doubtful`` when an order to start it got no answer.
     """
@@ -86,6 +87,7 @@
     percent: int = 0
     moved_s: float = 0
     reading: int = 0
+    rest_share: float = 0
     saved: str = ''
     pace_percent: int = 100
     planned_version: int = 0
--- a/src/marjoramwharf/scheduling/ordering.py
+++ b/src/marjoramwharf/scheduling/ordering.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from marjoramwharf.scheduling.job_book import job_of
 from marjoramwharf.scheduling.job_state import Step, Task
@@ -16,11 +18,30 @@
 # A job that takes longer than this many objectives is of no more use.
 _USEFUL_OBJECTIVES = 3
 
-_ON_TIME = 0
-_LATE = 1
-_USELESS = 2
+# Estimates are rough: a chain may turn out shorter by this share.
+_ESTIMATE_SLACK_SHARE = 0.4
 
-Rank = tuple[int, float, int, int]
+
+@enum.unique
+class Tier(enum.IntEnum):
+    """What a waiting job can still be worth; lower goes first."""
+
+    ON_TIME = 0
+    LATE = 1
+    USELESS = 2
+
+
+class Rank(NamedTuple):
+    """Place of a step among those that wait; lower goes first.
+
+    ``slack_ms`` is the time that the step can wait and still meet the
+    objective of its job.
+    """
+
+    tier: Tier
+    slack_ms: float
+    priority: int
+    since_ms: int
 
 
 def group_by_step(tasks: list[Task]) -> list[list[Task]]:
@@ -38,20 +59,24 @@
 
 
 def step_rank(step: Step, queue: QueuePolicy, *, now_ms: int) -> Rank:
-    """Return the place of a step among those that wait; lowest first."""
+    """Return the place of a step among those that wait.
+
+    A job that can hardly meet its objective any more lets those go first
+    that can.
+    """
     request = step.occurrence.job.request
     since_ms = max(request.accepted_at_ms, step.occurrence.due_ms)
+    if step.request.is_lasting:
+        return Rank(Tier.ON_TIME, 0, queue.priority, since_ms)
     allowed_ms = objective_ms(step, queue)
     passed_ms = now_ms - since_ms
-    if step.request.is_lasting:
-        return (_ON_TIME, 0, queue.priority, since_ms)
     slack_ms = allowed_ms - passed_ms - step.chain_ms
-    tier = _ON_TIME
+    tier = Tier.ON_TIME
     if passed_ms > _USEFUL_OBJECTIVES * allowed_ms:
-        tier = _USELESS
-    elif passed_ms > allowed_ms:
-        tier = _LATE
-    return (tier, slack_ms, queue.priority, since_ms)
+        tier = Tier.USELESS
+    elif slack_ms < -_ESTIMATE_SLACK_SHARE * step.chain_ms:
+        tier = Tier.LATE
+    return Rank(tier, slack_ms, queue.priority, since_ms)
 
 
 def queue_of(task: Task, queues: Mapping[str, QueuePolicy]) -> QueuePolicy:
--- a/src/marjoramwharf/scheduling/pacing.py
+++ b/src/marjoramwharf/scheduling/pacing.py
@@ -14,16 +14,18 @@
 from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.interference import InterferenceModel, Pressure
 from marjoramwharf.scheduling.job_state import Run, RunPhase
+from marjoramwharf.scheduling.tails import rest_share_of
 
 FULL_PERCENT = 100
 
 # The share of its target to which a pause should bring a tail.
 _GOAL_SHARE = 0.7
 
-# A tail that is over its target for the first time pauses those to blame, and
-# for the second all filling work of the worker.
-_PAUSE_AFTER_S = 2.2
-_PAUSE_ALL_AFTER_S = 2.8
+# How long before a tail has been over its target for too long the runs to
+# blame are paused, and all filling work of the worker: an order takes a tenth
+# of a second to act, and readings lag.
+_PAUSE_MARGIN_S = 1.7
+_PAUSE_ALL_MARGIN_S = 1.2
 
 # Readings cover the last half second.
 _READING_WINDOW_S = 0.5
@@ -41,12 +43,17 @@
 
 @dataclass(slots=True)
 class PaceKeeper:
-    """State of the pacing on one worker."""
+    """State of the pacing on one worker.
+
+    No tail may be over its target for ``harm_s`` on end by what fills.
+    """
 
     worker: Worker
     model: InterferenceModel
+    harm_s: float
     _over_since_s: dict[Run, float] = field(default_factory=dict)
     _past: list[_Past] = field(default_factory=list)
+    _looked_s: float = 0
 
     def note_end(self, run: Run, *, now_s: float) -> None:
         """Remember a filling run that has just ended."""
@@ -65,11 +72,13 @@
         pressures = self._recent_pressures(now_s)
         for run in _at_work(self.worker.serving_runs()):
             if run.reading and _is_settled(run, now_s):
-                self.model.observe(
+                run.rest_share = self.model.observe(
                     run.step.image,
                     pressures,
-                    tail_share=run.reading / run.step.target_tail_ms,
+                    rest_share=rest_share_of(run, self.model),
+                    tail_share=_tail_share(run),
                 )
+        self.worker.touch()
 
     def decide(self, *, now_s: float) -> Mapping[Run, int]:
         """Return the runs whose pace changes, with the new percentage."""
@@ -78,17 +87,20 @@
         ]
         filling = _at_work(self.worker.filling_runs())
         over = [run for run in serving if _tail_share(run) > 1]
+        # A tail may have risen right after the last look that found it low.
         self._over_since_s = {
-            run: self._over_since_s.get(run, now_s) for run in over
+            run: self._over_since_s.get(run, self._looked_s) for run in over
         }
-        if not filling:
-            return {}
+        self._looked_s = now_s
+        longest_s: float = 0
+        if over:
+            longest_s = now_s - min(self._over_since_s.values())
+        self.worker.is_paused = longest_s >= self.harm_s - _PAUSE_MARGIN_S
         if not over:
             return _changes(dict.fromkeys(filling, FULL_PERCENT))
-        longest_s = now_s - min(self._over_since_s.values())
-        if longest_s < _PAUSE_AFTER_S:
+        if not self.worker.is_paused:
             return {}
-        if longest_s >= _PAUSE_ALL_AFTER_S:
+        if longest_s >= self.harm_s - _PAUSE_ALL_MARGIN_S:
             return _changes(dict.fromkeys(filling, 0))
         return self._pause(over, filling)
 
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.scheduling.fleet import Fleet, Worker
-from marjoramwharf.scheduling.interference import InterferenceModel, Pressure
+from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_state import Run, RunPhase, Task
+from marjoramwharf.scheduling.tails import harm_of
 from marjoramwharf.scheduling.workload import StepRequest
 
 # Cost of a choice, in units of one whole worker in use.
@@ -37,16 +37,9 @@
 # A serving task uses about this share of the processors that it reserves.
 _SERVING_USE_SHARE = 0.45
 
-# Steepness of the chance that a tail is over its target: the logarithm of a
-# reading scatters by about one half.
-_SCATTER_POWER = 5.0
-
 # Least share of a worker that counts as left by what serves there.
 _LEAST_LEFT_SHARE = 0.05
 
-# Tasks over their target count this many times against their job.
-_HARM_WEIGHT = 4
-
 # A worker takes filling tasks up to this share of its processors.
 _FILL_LIMIT_SHARE = 1.0
 
@@ -55,13 +48,13 @@
 class Choice:
     """What a choice depends on besides the task and the workers.
 
-    Without ``may_harm`` a filling task waits rather than push a tail over its
-    target. ``avoid`` are workers that must not be chosen.
+    A filling task waits rather than spoil more than ``allowed_harm`` serving
+    tasks. ``avoid`` are workers that must not be chosen.
     """
 
     model: InterferenceModel
     now_s: float
-    may_harm: bool = True
+    allowed_harm: float = math.inf
     avoid: frozenset[WorkerId] = frozenset()
 
 
@@ -162,7 +155,7 @@
     if used > _FILL_LIMIT_SHARE and worker.fill_cpu:
         return math.inf
     harm = harm_of(request, worker, choice.model)
-    if harm > _HARM_FLOOR and not choice.may_harm:
+    if harm > choice.allowed_harm:
         return math.inf
     served = len(list(worker.serving_runs()))
     left = max(_LEAST_LEFT_SHARE, 1 - plain - serving)
@@ -174,50 +167,6 @@
     )
 
 
-def harm_of(
-    request: StepRequest,
-    worker: Worker,
-    model: InterferenceModel,
-) -> float:
-    """Return how many more serving tasks a filling task is expected to spoil.
-
-    What is spoilt already can't be spoilt again, so filling tasks that
-    disturb gather on few workers, where they cost least.
-    """
-    whole = max(1, worker.capacity.cpu_millicores)
-    before = [
-        Pressure(run.step.image, run.step.cpu_millicores / whole)
-        for run in worker.filling_runs()
-    ]
-    after = [*before, Pressure(request.image, request.cpu_millicores / whole)]
-    images = Counter(run.step.image for run in worker.serving_runs())
-    return sum(
-        count
-        * (
-            _spoilt_share(model.tail_share(image, after))
-            - _spoilt_share(model.tail_share(image, before))
-        )
-        for image, count in images.items()
-    )
-
-
-def _spoilt_share(tail_share: float) -> float:
-    """Return the share of a serving task's use that is lost.
-
-    A task over its target counts several times, so a job is worth nothing
-    once a fraction of its tasks are.
-    """
-    return min(1, _HARM_WEIGHT * _over_chance(tail_share))
-
-
-def _over_chance(tail_share: float) -> float:
-    """Return the chance that a tail is over its target.
-
-    Readings scatter around the expected tail, so the chance rises smoothly.
-    """
-    return 1 / (1 + tail_share**-_SCATTER_POWER)
-
-
 def _serving_cost(task: Task, worker: Worker) -> float:
     """Pack what serves, by job and by image, and keep it away from fills.
 
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from marjoramwharf.ids import WorkerId
-from marjoramwharf.scheduling import ordering
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_book import JobBook, gang_of
 from marjoramwharf.scheduling.job_state import Run, Step, Task
+from marjoramwharf.scheduling.ordering import (
+    Rank,
+    Tier,
+    group_by_step,
+    queue_of,
+    step_rank,
+)
 from marjoramwharf.scheduling.placement import (
     Choice,
     choose_worker,
@@ -18,8 +25,19 @@
 )
 from marjoramwharf.scheduling.policy import QueuePolicy
 
-# A step with less time to spare starts even where it is expected to disturb.
-_PRESSING_SLACK_MS = 700
+# Serving tasks that a step may spoil: few while it has time to wait, and one
+# more for each ``_HARM_STEP_MS`` below ``_PATIENT_SLACK_MS`` of slack.
+_PATIENT_HARM = 0.5
+_PATIENT_SLACK_MS = 1_000
+_HARM_STEP_MS = 150
+
+# Serving tasks that a task of a job that is late anyway may spoil.
+_LATE_HARM = 2.0
+
+# A step that waited this long starts anywhere if less than this share of the
+# processors is in use.
+_LONGEST_IDLE_WAIT_S = 1.5
+_IDLE_USE_SHARE = 0.6
 
 # Tickets by worker for a step; ``None`` where the queue needs none.
 Tickets = Mapping[WorkerId, str]
@@ -48,12 +66,12 @@
             for task in self.book.ready.values()
             if task.not_before_s <= now_s
         ]
-        groups = ordering.group_by_step(tasks)
+        groups = group_by_step(tasks)
         ranked = sorted(
             (
-                ordering.step_rank(
+                step_rank(
                     group[0].step,
-                    ordering.queue_of(group[0], queues),
+                    queue_of(group[0], queues),
                     now_ms=now_ms,
                 ),
                 number,
@@ -63,11 +81,11 @@
         planned: list[Run] = []
         for rank, number in ranked:
             group = groups[number]
-            queue = ordering.queue_of(group[0], queues)
+            queue = queue_of(group[0], queues)
             choice = Choice(
                 self.model,
                 now_s,
-                may_harm=rank[1] < _PRESSING_SLACK_MS,
+                allowed_harm=self._allowed_harm(group[0], rank, now_s),
             )
             planned.extend(self._place_group(group, queue.service, choice))
         return planned
@@ -88,6 +106,28 @@
         )
         return None if worker is None else self._place(task, worker, now_s)
 
+    def _allowed_harm(self, task: Task, rank: Rank, now_s: float) -> float:
+        """Return how many serving tasks a task may spoil."""
+        waited_s = now_s - task.ready_since_s
+        if waited_s > _LONGEST_IDLE_WAIT_S and self._is_idle():
+            return math.inf
+        if rank.tier is not Tier.ON_TIME:
+            return _LATE_HARM
+        pressure = (_PATIENT_SLACK_MS - rank.slack_ms) / _HARM_STEP_MS
+        return _PATIENT_HARM + max(0, pressure)
+
+    def _is_idle(self) -> bool:
+        """Whether much of the fleet's processors is neither used nor asked."""
+        used = 0
+        whole = 0
+        for worker in self.fleet.workers.values():
+            used += min(
+                worker.cpu_used + worker.fill_cpu,
+                worker.capacity.cpu_millicores,
+            )
+            whole += worker.capacity.cpu_millicores
+        return used < _IDLE_USE_SHARE * whole
+
     def _place_group(
         self,
         group: Sequence[Task],
