Move runs off workers that leave, hang or are slow

Change: scheduling/rescue decides which runs are moved or doubled; a worker on which nearly everything fails gets nothing; leases of runs are 6.5 s and a former owner stops holding 1.2 s after its own.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -26,7 +26,6 @@
 from marjoramwharf.links.follower import Follower
 from marjoramwharf.links.store import Guard, PollingStore
 from marjoramwharf.logs import part_logger
-from marjoramwharf.scheduling import ordering
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_book import JobBook, job_of
 from marjoramwharf.scheduling.job_state import (
@@ -36,8 +35,11 @@
     RunEnd,
     RunPhase,
 )
+from marjoramwharf.scheduling.fleet import Worker
+from marjoramwharf.scheduling.ordering import queue_of
 from marjoramwharf.scheduling.planner import Planner
-from marjoramwharf.scheduling.policy import Configuration
+from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
+from marjoramwharf.scheduling.rescue import Rescue, Trouble, find_rescues
 
 _LOG = part_logger('cell')
 
@@ -45,8 +47,11 @@
 _UPKEEP_PERIOD_S = 0.5
 _MS_PER_S = 1_000
 
+# A worker on which a run hangs or is slow gets new runs last for this long.
+_SUSPECT_S = 5.0
+
 # A former owner may extend leases until this much after its own has lapsed.
-FORMER_OWNER_SLACK_S = 3.0
+FORMER_OWNER_SLACK_S = 1.5
 
 # A worker's clock may run slow, so a lease may last this many times longer.
 _SLOW_CLOCK_FACTOR = 1.03
@@ -126,6 +131,7 @@
                 stop_ms=parts.bounds.stop_ms,
             ),
             harm_s=parts.bounds.harm_ms / _MS_PER_S,
+            drain_ms=parts.bounds.drain_ms,
             on_change=self._plan_signal.set,
         )
         self._writer = ProgressWriter(
@@ -215,14 +221,14 @@
         if run.phase is RunPhase.ENDED:
             return job
         now_s = boot_s()
-        self.board.release(run, has_failed=how is RunEnd.FAILED, now_s=now_s)
+        self.board.release(run, how, now_s=now_s)
         if how not in {RunEnd.DONE, RunEnd.STOPPED}:
             _log_end(run, how)
         self.book.end(
             run,
             how,
             saved=saved,
-            max_attempts=self._max_attempts(run),
+            max_attempts=self._queue_of(run).max_attempts,
             now_s=now_s,
         )
         self._stop_surplus(job)
@@ -285,15 +291,16 @@
             else:
                 self.board.stop(run)
 
-    def _max_attempts(self, run: Run) -> int:
+    def _queue_of(self, run: Run) -> QueuePolicy:
         configuration = self.parts.configuration()
         queues = {} if configuration is None else configuration.queues
-        return ordering.queue_of(run.task, queues).max_attempts
+        return queue_of(run.task, queues)
 
     async def _run_upkeep(self) -> None:
         while True:
             await trio.sleep(_UPKEEP_PERIOD_S)
             self._end_unreached()
+            self._rescue()
             for job in tuple(self.book.jobs.values()):
                 if job.occurrences:
                     self._stop_surplus(job)
@@ -307,9 +314,42 @@
                 kept_ms=self.parts.bounds.status_ms,
             )
 
+    def _rescue(self) -> None:
+        """Move runs off workers that leave, hang or are slow."""
+        if self.is_stopping or not self.mandate.is_current():
+            return
+        now_s = boot_s()
+        for worker in self.board.fleet.workers.values():
+            for rescue in tuple(find_rescues(worker, now_s=now_s)):
+                self._move(rescue, worker, now_s)
+
+    def _move(self, rescue: Rescue, worker: Worker, now_s: float) -> None:
+        run = rescue.run
+        queue = self._queue_of(run)
+        if rescue.trouble is not Trouble.LEAVING:
+            worker.suspect_until_s = now_s + _SUSPECT_S
+            run.task.failed_workers.add(worker.worker_id)
+        is_alone = len(run.task.runs) == 1
+        if not self._planner.has_place(run.task, queue.service, now_s=now_s):
+            return
+        _LOG.info(
+            'run moved',
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            trouble=rescue.trouble.value,
+            percent=run.percent,
+        )
+        if run.step.may_duplicate and not run.step.is_lasting:
+            if is_alone:
+                self._planner.duplicate(run.task, queue.service, now_s=now_s)
+                self._writer.wake()
+        else:
+            self.board.stop(run)
+
     def _end_unreached(self) -> None:
         """End runs of a former owner at workers that were never reached."""
-        longest_s = self.parts.bounds.max_hold_ms / _MS_PER_S
+        longest_s = self.parts.hold_ms / _MS_PER_S
         longest_s *= _SLOW_CLOCK_FACTOR
         if boot_s() < self.taken_s + longest_s + FORMER_OWNER_SLACK_S:
             return
--- a/src/marjoramwharf/cells/place.py
+++ b/src/marjoramwharf/cells/place.py
@@ -24,6 +24,7 @@
 
     max_hold_ms: int = 10_000
     stop_ms: int = 1_000
+    drain_ms: int = 2_000
     grace_ms: int = 6_000
     config_apply_ms: int = 2_000
     early_ms: int = 250
--- a/src/marjoramwharf/cells/worker_board.py
+++ b/src/marjoramwharf/cells/worker_board.py
@@ -21,11 +21,13 @@
 )
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_book import JobBook
-from marjoramwharf.scheduling.job_state import Run
+from marjoramwharf.scheduling.job_state import Run, RunEnd
 from marjoramwharf.scheduling.pacing import PaceKeeper
 
 _LOG = part_logger('worker')
 
+_MS_PER_S = 1_000
+
 ListingDecoder = Callable[[str, bytes], WorkerListing]
 
 
@@ -33,7 +35,8 @@
 class WorkerBoard:
     """Keeps a link and a pace keeper for each listed worker.
 
-    ``harm_s`` is the time for which a tail may be over its target. ``decode``
+    ``harm_s`` is the time for which a tail may be over its target, and
+    ``drain_ms`` how long a worker drains that doesn't say so. ``decode``
     raises a ``Failure`` for an entry that names no worker, and
     ``on_change`` is called when workers come, go or change.
     """
@@ -45,6 +48,7 @@
     owner: LinkOwner
     terms: LinkTerms
     harm_s: float
+    drain_ms: int
     on_change: Callable[[], None]
     fleet: Fleet = field(default_factory=Fleet)
     links: dict[WorkerId, WorkerLink] = field(default_factory=dict)
@@ -91,15 +95,18 @@
         for link in self.links.values():
             link.note_stored()
 
-    def release(self, run: Run, *, has_failed: bool, now_s: float) -> None:
+    def release(self, run: Run, how: RunEnd, *, now_s: float) -> None:
         """Free the room of a run that has ended."""
         worker = self.fleet.workers.get(run.worker_id)
         if worker is None:
             return
         worker.remove(run)
         self._keepers[worker.worker_id].note_end(run, now_s=now_s)
-        if has_failed:
-            worker.note_failure(now_s)
+        if how in {RunEnd.DONE, RunEnd.FAILED}:
+            worker.note_outcome(
+                has_failed=how is RunEnd.FAILED,
+                now_s=now_s,
+            )
 
     def pace(self, link: WorkerLink) -> None:
         """Learn from a look at a worker, and pace what fills there."""
@@ -117,6 +124,7 @@
                 percent=percent,
             )
             run.pace_percent = percent
+            run.paced_until_s = now_s
             self._nursery.start_soon(link.pace, run, percent)
         link.is_urgent = keeper.needs_look()
 
@@ -146,8 +154,13 @@
     def _take_listing(self, listing: WorkerListing) -> None:
         worker = self.fleet.workers.get(listing.worker_id)
         if worker is None:
-            self._add(Worker(listing))
-            return
+            worker = Worker(listing)
+            self._add(worker)
+        if listing.state is WorkerState.DRAINING:
+            left_ms = listing.remaining_ms
+            if left_ms is None:
+                left_ms = self.drain_ms
+            worker.leaves_s = boot_s() + left_ms / _MS_PER_S
         if worker.listing.state is not listing.state:
             _LOG.info(
                 'worker changes state',
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -311,6 +311,7 @@
         if not self.worker.is_reachable:
             _LOG.info('worker reached', worker=self.worker.worker_id)
         self.worker.is_reachable = True
+        self.worker.looked_s = now_s
         for ended in report.ended:
             self._take_end(ended)
         self.note_stored()
@@ -386,6 +387,11 @@
             return
         if run.phase in {RunPhase.ORDERED, RunPhase.UNCERTAIN}:
             self.owner.run_started(run)
+        run.read_s = now_s
+        if not run.is_seen:
+            run.is_seen = True
+            run.resumed_percent = row.percent
+            run.moved_s = now_s
         if row.percent != run.percent:
             run.percent = row.percent
             run.moved_s = now_s
--- a/src/marjoramwharf/platform/boot.py
+++ b/src/marjoramwharf/platform/boot.py
@@ -92,6 +92,7 @@
     return Bounds(
         max_hold_ms=whole('MaxHoldMs', 10_000),
         stop_ms=whole('StopMs', 1_000),
+        drain_ms=whole('DrainMs', 2_000),
         grace_ms=seconds('GraceS', 6),
         config_apply_ms=whole('ConfigApplyMs', 2_000),
         early_ms=whole('early_ms', 0),
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -61,10 +61,15 @@
 
 # The share of the longest lease that a run gets, so that it outlives a change
 # of owner.
-_HOLD_SHARE = 0.85
+_HOLD_SHARE = 0.65
 
 # An owner whose lease can't be renewed extends the leases of runs for so long.
-_HOLD_AFTER_LAPSE_S = 2.5
+_HOLD_AFTER_LAPSE_S = 1.2
+
+# The waits of the watches: a connection that went silent is noticed a second
+# after them, and a configuration has to be in force within two seconds.
+_CONFIG_WAIT_MS = 900
+_OWNERS_WAIT_MS = 2_000
 
 # The platform needs two looks, a second apart, to stop sending connections.
 _READINESS_GAP_S = 2.2
@@ -151,8 +156,18 @@
         """Serve until SIGTERM."""
         place = self.place
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow, _CONFIG_PREFIX, self.config.apply)
-            nursery.start_soon(self._follow, OWNERS_PREFIX, self.view.apply)
+            nursery.start_soon(
+                self._follow,
+                _CONFIG_PREFIX,
+                self.config.apply,
+                _CONFIG_WAIT_MS,
+            )
+            nursery.start_soon(
+                self._follow,
+                OWNERS_PREFIX,
+                self.view.apply,
+                _OWNERS_WAIT_MS,
+            )
             nursery.start_soon(self.owner_link.run)
             nursery.start_soon(self.campaign.run)
             await self._listen(nursery)
@@ -194,8 +209,8 @@
         finally:
             self.cell = None
 
-    async def _follow(self, prefix: str, apply: Apply) -> None:
-        await Follower(self.store, prefix, apply).run()
+    async def _follow(self, prefix: str, apply: Apply, wait_ms: int) -> None:
+        await Follower(self.store, prefix, apply, wait_ms).run()
 
     async def _listen(self, nursery: trio.Nursery) -> None:
         place = self.place
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -15,8 +16,13 @@
 if TYPE_CHECKING:
     from marjoramwharf.scheduling.tails import ExpectedTail
 
-# Share of its weight that a failure on a worker keeps after one second.
-_FAILURE_DECAY_PER_S = 0.85
+# Share of its weight that the outcome of a run keeps after one second.
+_OUTCOME_DECAY_PER_S = 0.85
+
+# Nothing is placed on a worker with more failures than this, and this many
+# times more failures than successes.
+_QUARANTINE_WEIGHT = 2.2
+_QUARANTINE_RATIO = 2.0
 
 
 @enum.unique
@@ -69,8 +75,10 @@
     """A worker with the runs that count against its room.
 
     ``is_reachable`` says whether its latest look was answered. Nothing new is
-    placed before ``not_before_s``. ``failure_weight`` is the decayed number of
-    runs that failed there. While the worker ``is_paused``, what fills there is
+    placed before ``not_before_s``. ``failure_weight`` and ``success_weight``
+    are the decayed numbers of runs that failed and that were done there. A
+    draining worker may be gone from ``leaves_s`` on. The latest look was at
+    ``looked_s``. While the worker ``is_paused``, what fills there is
     held back and nothing that fills is added. ``tails`` are kept by :mod:`scheduling.tails` and
     valid while ``tails_version`` equals ``version``.
     """
@@ -81,7 +89,10 @@
     not_before_s: float = 0
     suspect_until_s: float = 0
     failure_weight: float = 0
-    failure_noted_s: float = 0
+    success_weight: float = 0
+    outcome_noted_s: float = 0
+    leaves_s: float = 0
+    looked_s: float = 0
     cpu_used: int = 0
     memory_used: int = 0
     accelerators_used: int = 0
@@ -120,16 +131,25 @@
         """Return how many runs of a step count against this worker."""
         return self.step_counts[id(step)]
 
-    def note_failure(self, now_s: float) -> None:
-        """Count a run that failed on this worker."""
-        self.failure_weight = self.failures_at(now_s) + 1
-        self.failure_noted_s = now_s
+    def note_outcome(self, *, has_failed: bool, now_s: float) -> None:
+        """Count a run that failed, or one that was done, on this worker."""
+        decay = self._decay(now_s)
+        self.failure_weight = self.failure_weight * decay + has_failed
+        self.success_weight = self.success_weight * decay + (not has_failed)
+        self.outcome_noted_s = now_s
 
     def failures_at(self, now_s: float) -> float:
         """Return the decayed number of failures."""
-        passed_s = max(0, now_s - self.failure_noted_s)
-        weight: float = self.failure_weight * _FAILURE_DECAY_PER_S**passed_s
-        return weight
+        return self.failure_weight * self._decay(now_s)
+
+    def fails_all(self, now_s: float) -> bool:
+        """Whether nearly everything has failed here lately."""
+        failures = self.failures_at(now_s)
+        successes = self.success_weight * self._decay(now_s)
+        return (
+            failures > _QUARANTINE_WEIGHT
+            and failures > _QUARANTINE_RATIO * successes
+        )
 
     def is_usable(self, now_s: float) -> bool:
         """Whether new runs may be placed here."""
@@ -137,6 +157,7 @@
             self.listing.state is WorkerState.READY
             and self.is_reachable
             and self.not_before_s <= now_s
+            and not self.fails_all(now_s)
         )
 
     def holds(self, step: StepRequest) -> bool:
@@ -176,6 +197,10 @@
         """Return the runs that take what the others leave unused."""
         return (run for run in self.runs if run.step.fills)
 
+    def _decay(self, now_s: float) -> float:
+        passed_s = max(0, now_s - self.outcome_noted_s)
+        return math.pow(_OUTCOME_DECAY_PER_S, passed_s)
+
     def touch(self) -> None:
         """Note that readings or runs have changed."""
         self.version += 1
--- a/src/marjoramwharf/scheduling/job_book.py
+++ b/src/marjoramwharf/scheduling/job_book.py
@@ -26,6 +26,9 @@
 # that callers of scheduled jobs are promised.
 _EARLY_START_MS = 0
 
+_FULL_PERCENT = 100
+_LEAST_RUN_S = 0.01
+
 
 @dataclass(slots=True)
 class JobBook:
@@ -136,6 +139,8 @@
         job = job_of(task)
         if saved:
             self._save(task, saved)
+        if how is RunEnd.DONE:
+            _note_pace(run, now_s)
         if how is RunEnd.DONE and not task.step.request.is_lasting:
             self._complete(task)
         elif how is RunEnd.FAILED:
@@ -282,6 +287,13 @@
         self.unstored[job.job_id] = job
 
 
+def _note_pace(run: Run, now_s: float) -> None:
+    if run.started_s is not None:
+        elapsed_s = max(now_s - run.started_s, _LEAST_RUN_S)
+        done = _FULL_PERCENT - run.resumed_percent
+        run.task.step.ended_paces.append(done / elapsed_s)
+
+
 def job_of(task: Task) -> Job:
     """Return the job that a task belongs to."""
     return task.step.occurrence.job
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -68,13 +68,14 @@
 class Run:
     """One start of a task at a worker.
 
-    ``percent`` is the progress that the worker reports, and ``moved_s`` the
-    last time at which it changed. ``reading`` is the tail latency in ms of a
+    ``percent`` is the progress that the worker reports, ``resumed_percent``
+    the first one, and ``moved_s`` the last time at which it changed; it was
+    read at ``read_s``. It ran below its full speed until ``paced_until_s``. ``reading`` is the tail latency in ms of a
     task that serves, and the processors in use (millicores) of any other.
     ``rest_share`` is the share of its target that an undisturbed tail takes,
     0 if that is not known. ``pace_percent`` is the share of its speed at which it may work. The run
     may be ordered once ``planned_version`` of its job is stored. It
-    ``is_doubtful`` when an order to start it got no answer.
+    ``is_seen`` once its worker has listed it, and ``is_doubtful`` when an order to start it got no answer.
     """
 
     task: Task
@@ -85,13 +86,17 @@
     placed_s: float
     started_s: float | None = None
     percent: int = 0
+    resumed_percent: int = 0
     moved_s: float = 0
+    read_s: float = 0
+    paced_until_s: float = 0
     reading: int = 0
     rest_share: float = 0
     saved: str = ''
     pace_percent: int = 100
     planned_version: int = 0
     stop_answered_s: float | None = None
+    is_seen: bool = False
     is_doubtful: bool = False
     ticket: str = ''
 
@@ -129,13 +134,15 @@
     """The tasks of one step in one occurrence.
 
     ``chain_ms`` is the estimated time from the start of the step to the end
-    of the longest chain of steps that it begins.
+    of the longest chain of steps that it begins. ``ended_paces`` are the
+    percentages per second of the runs that ended done.
     """
 
     occurrence: Occurrence
     number: int
     request: StepRequest
     chain_ms: int = 0
+    ended_paces: list[float] = field(default_factory=list)
     tasks: list[Task] = field(default_factory=list)
     done_count: int = 0
 
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -90,6 +90,10 @@
             planned.extend(self._place_group(group, queue.service, choice))
         return planned
 
+    def has_place(self, task: Task, service: str, *, now_s: float) -> bool:
+        """Whether another worker could take a task now."""
+        return self._other_worker(task, service, now_s) is not None
+
     def duplicate(
         self,
         task: Task,
@@ -98,13 +102,21 @@
         now_s: float,
     ) -> Run | None:
         """Plan one more run of a task on a worker that runs none of it."""
+        worker = self._other_worker(task, service, now_s)
+        return None if worker is None else self._place(task, worker, now_s)
+
+    def _other_worker(
+        self,
+        task: Task,
+        service: str,
+        now_s: float,
+    ) -> Worker | None:
         taken = frozenset(run.worker_id for run in task.runs.values())
-        worker = choose_worker(
+        return choose_worker(
             task,
             self._candidates(task, service),
             Choice(self.model, now_s, avoid=taken),
         )
-        return None if worker is None else self._place(task, worker, now_s)
 
     def _allowed_harm(self, task: Task, rank: Rank, now_s: float) -> float:
         """Return how many serving tasks a task may spoil."""
