Let leases end at a worker that does not answer

Cause: each unanswered hold extended the lease once more, so that runs at a worker that was cut off were never known to have ended. Change: a worker that does not answer is asked without a new lease. Tests play a cell with stand-in store and workers on a clock that jumps over idle time.

--- a/src/marjoramwharf/cells/clocks.py
+++ b/src/marjoramwharf/cells/clocks.py
@@ -8,15 +8,40 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 _MS_PER_S = 1_000
 
+ClockSource = Callable[[], float]
+
+
+def _read_boot_clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+# The latest source is the one in force; tests put their own on top.
+_boot_sources: list[ClockSource] = [_read_boot_clock]
+_wall_sources: list[ClockSource] = [time.time]
+
 
 def boot_s() -> float:
     """Return the seconds since the machine started, suspensions included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return _boot_sources[-1]()
 
 
 def wall_ms() -> int:
     """Return the Unix time in milliseconds."""
-    return int(time.time() * _MS_PER_S)
+    return int(_wall_sources[-1]() * _MS_PER_S)
+
+
+@contextmanager
+def replaced_clocks(source: ClockSource) -> Iterator[None]:
+    """Read both clocks from another source for the length of a block."""
+    _boot_sources.append(source)
+    _wall_sources.append(source)
+    try:
+        yield
+    finally:
+        _boot_sources.pop()
+        _wall_sources.pop()
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -247,7 +247,7 @@
             HoldOrder(
                 fence=self.terms.fence,
                 noted_end=self.noted_end,
-                expires_ms=self.clock.grant(self.terms.hold_ms, now_s=sent_s),
+                expires_ms=self._lease_end_ms(sent_s),
                 wait_ms=wait_ms,
             ),
             timeout_s=wait_ms / 1_000 + _HOLD_SLACK_S,
@@ -264,6 +264,16 @@
             self._unreachable(report.outcome)
             await trio.sleep(_UNREACHABLE_PAUSE_S)
 
+    def _lease_end_ms(self, now_s: float) -> int | None:
+        """Return the end of the next lease.
+
+        A hold without an answer may be carried out, so a worker that doesn't
+        answer gets no longer lease: its runs then end at a known time.
+        """
+        if not self.worker.is_reachable:
+            return None
+        return self.clock.grant(self.terms.hold_ms, now_s=now_s)
+
     def _wait_ms(self) -> int:
         if self.clock.reading_ms is None or not self.worker.is_reachable:
             return 0
--- a/standins/kv_state.py
+++ b/standins/kv_state.py
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True)
 class _Lease:
-    ttl_s: int
+    ttl_s: float
     lapses_at_s: float
     keys: set[str] = field(default_factory=set)
 
@@ -90,14 +90,14 @@
         self.compacted_revision = self.revision
         self.history.clear()
 
-    def grant_lease(self, ttl_s: int, now_s: float) -> LeaseId:
+    def grant_lease(self, ttl_s: float, now_s: float) -> LeaseId:
         """Create a lease."""
         lease = LeaseId(self._next_lease)
         self._next_lease += 1
         self._leases[lease] = _Lease(ttl_s, now_s + ttl_s)
         return lease
 
-    def keep_alive(self, lease: LeaseId, now_s: float) -> int:
+    def keep_alive(self, lease: LeaseId, now_s: float) -> float:
         """Extend a lease and return its time to live, 0 if it is gone."""
         held = self._leases.get(lease)
         if held is None:
--- /dev/null
+++ b/standins/run_worker_calls.py
@@ -0,0 +1,142 @@
+"""In-process calls to stand-in workers, with the faults of the real ones."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import TypeVar
+
+import trio
+
+from marjoramwharf.cells.worker_messages import (
+    HoldOrder,
+    HoldReport,
+    OrderAnswer,
+    OrderOutcome,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerAddress,
+)
+from marjoramwharf.ids import WorkerId
+from standins.run_worker import RunWorker
+
+_MS_PER_S = 1_000
+_STEP_S = 0.01
+
+_Reply = TypeVar('_Reply')
+
+
+@dataclass
+class MemoryWorkerCalls:
+    """Implements ``WorkerCalls`` on a table of ``RunWorker``.
+
+    ``unreachable`` workers answer nothing. The next ``starts_to_lose`` starts
+    are carried out without an answer; the next ``starts_to_delay`` wait in
+    ``late_orders`` until they are called.
+    """
+
+    workers: dict[WorkerId, RunWorker]
+    unreachable: set[WorkerId] = field(default_factory=set)
+    starts_to_lose: int = 0
+    starts_to_delay: int = 0
+    late_orders: list[Callable[[], OrderAnswer]] = field(default_factory=list)
+
+    async def start(
+        self,
+        worker: WorkerAddress,
+        order: StartOrder,
+        *,
+        timeout_s: float,
+    ) -> OrderAnswer:
+        """Start a run."""
+        carry_out = partial(self._start, worker.worker_id, order)
+        if self.starts_to_delay:
+            self.starts_to_delay -= 1
+            self.late_orders.append(carry_out)
+            await trio.sleep(timeout_s)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        answer = await self._reach(worker.worker_id, carry_out, timeout_s)
+        if self.starts_to_lose:
+            self.starts_to_lose -= 1
+            answer = None
+        return answer or OrderAnswer(OrderOutcome.UNKNOWN)
+
+    async def stop(
+        self,
+        worker: WorkerAddress,
+        order: StopOrder,
+        *,
+        timeout_s: float,
+    ) -> OrderAnswer:
+        """Stop a run."""
+        answer = await self._reach(
+            worker.worker_id,
+            lambda: self._worker(worker.worker_id).stop(
+                order,
+                trio.current_time(),
+            ),
+            timeout_s,
+        )
+        return answer or OrderAnswer(OrderOutcome.UNKNOWN)
+
+    async def pace(
+        self,
+        worker: WorkerAddress,
+        order: PaceOrder,
+        *,
+        timeout_s: float,
+    ) -> OrderAnswer:
+        """Change the pace of a run."""
+        answer = await self._reach(
+            worker.worker_id,
+            lambda: self._worker(worker.worker_id).pace(
+                order,
+                trio.current_time(),
+            ),
+            timeout_s,
+        )
+        return answer or OrderAnswer(OrderOutcome.UNKNOWN)
+
+    async def hold(
+        self,
+        worker: WorkerAddress,
+        order: HoldOrder,
+        *,
+        timeout_s: float,
+    ) -> HoldReport:
+        """Hold a worker; waits for an end as the real ones do."""
+        until_s = trio.current_time() + order.wait_ms / _MS_PER_S
+        while True:
+            report = await self._reach(
+                worker.worker_id,
+                lambda: self._worker(worker.worker_id).hold(
+                    order,
+                    trio.current_time(),
+                ),
+                timeout_s,
+            )
+            if report is None:
+                return HoldReport(OrderOutcome.UNKNOWN)
+            if report.ended or trio.current_time() >= until_s:
+                return report
+            await trio.sleep(_STEP_S)
+
+    def _start(self, worker_id: WorkerId, order: StartOrder) -> OrderAnswer:
+        return self._worker(worker_id).start(order, trio.current_time())
+
+    def _worker(self, worker_id: WorkerId) -> RunWorker:
+        return self.workers[worker_id]
+
+    async def _reach(
+        self,
+        worker_id: WorkerId,
+        call: Callable[[], _Reply],
+        timeout_s: float,
+    ) -> _Reply | None:
+        if worker_id in self.unreachable or worker_id not in self.workers:
+            await trio.sleep(timeout_s)
+            return None
+        await trio.lowlevel.checkpoint()
+        return call()
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of scheduling."""
