Test the adapter against each message, and repeat a call on a closed connection

Cause: a kept connection that the server had closed cleanly counted as a lost answer, since h11 reports it as a protocol error. Change: a call without a byte of an answer on a kept connection is sent again.

--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -68,6 +68,7 @@
     protocol: h11.Connection
     idle_since_s: float = 0
     answers_count: int = 0
+    has_answer: bool = False
 
 
 @dataclass(slots=True)
@@ -181,9 +182,7 @@
 
 
 def _failure_of(connection: _Connection, error: Exception) -> CallFailed:
-    waiting = connection.protocol.their_state is h11.SEND_RESPONSE
-    untouched = waiting and not connection.protocol.trailing_data[0]
-    if connection.answers_count and untouched:
+    if connection.answers_count and not connection.has_answer:
         return _Stale(repr(error))
     return CallFailed(repr(error))
 
@@ -194,6 +193,7 @@
     body: bytes,
 ) -> Answer:
     protocol = connection.protocol
+    connection.has_answer = False
     head = protocol.send(sent) or b''
     rest = protocol.send(h11.Data(data=body)) or b'' if body else b''
     end = protocol.send(h11.EndOfMessage()) or b''
@@ -208,6 +208,7 @@
         event = await next_event(stream, connection.protocol)
     if not isinstance(event, h11.Response):
         raise h11.RemoteProtocolError('closed before the answer')
+    connection.has_answer = True
     body = await read_body(stream, connection.protocol)
     return Answer(event.status_code, _decoded(event), body)
 
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -83,7 +83,7 @@
     async def keep_alive(self, lease: LeaseId) -> int:
         """Extend a lease."""
         await self._enter()
-        return self.state.keep_alive(lease, trio.current_time())
+        return int(self.state.keep_alive(lease, trio.current_time()))
 
     async def revoke_lease(self, lease: LeaseId) -> None:
         """End a lease."""
--- a/standins/run_worker_calls.py
+++ b/standins/run_worker_calls.py
@@ -109,14 +109,8 @@
         """Hold a worker; waits for an end as the real ones do."""
         until_s = trio.current_time() + order.wait_ms / _MS_PER_S
         while True:
-            report = await self._reach(
-                worker.worker_id,
-                lambda: self._worker(worker.worker_id).hold(
-                    order,
-                    trio.current_time(),
-                ),
-                timeout_s,
-            )
+            look = partial(self._hold, worker.worker_id, order)
+            report = await self._reach(worker.worker_id, look, timeout_s)
             if report is None:
                 return HoldReport(OrderOutcome.UNKNOWN)
             if report.ended or trio.current_time() >= until_s:
@@ -126,6 +120,9 @@
     def _start(self, worker_id: WorkerId, order: StartOrder) -> OrderAnswer:
         return self._worker(worker_id).start(order, trio.current_time())
 
+    def _hold(self, worker_id: WorkerId, order: HoldOrder) -> HoldReport:
+        return self._worker(worker_id).hold(order, trio.current_time())
+
     def _worker(self, worker_id: WorkerId) -> RunWorker:
         return self.workers[worker_id]
 
--- /dev/null
+++ b/tests/platform/test_worker_calls.py
@@ -0,0 +1,172 @@
+"""Calls to workers, as the platform's page shows them."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from marjoramwharf.cells.worker_messages import (
+    HoldOrder,
+    OrderOutcome,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerAddress,
+)
+from marjoramwharf.ids import TaskId, WorkerId
+from marjoramwharf.links.http_client import LeanClient
+from marjoramwharf.platform.worker_calls import PlatformWorkerCalls
+from marjoramwharf.scheduling.job_state import RunEnd
+from tests.platform.serving import Script, scripted
+
+_TASK = TaskId('5c0e7a21d94b36f8.0.1.17')
+_START = StartOrder(_TASK, 2, '(text)', 486_000, 7, '00000bb87a21d94b')
+
+
+def _address(script: Script) -> WorkerAddress:
+    host, _, port = script.address.partition(':')
+    return WorkerAddress(WorkerId('i-1'), host, int(port))
+
+
+class WorkerCallTests(unittest.TestCase):
+    """Guards against orders that differ from the published protocol."""
+
+    def setUp(self) -> None:
+        """Use one client for each test."""
+        self.calls = PlatformWorkerCalls(LeanClient())
+
+    def test_start(self) -> None:
+        """Guards against an order that is sent wrong."""
+        trio.run(self._start)
+
+    def test_refusals(self) -> None:
+        """Guards against a refusal that is taken for another."""
+        trio.run(self._refusals)
+
+    def test_hold(self) -> None:
+        """Guards against runs and ends that are read wrong."""
+        trio.run(self._hold)
+
+    def test_stop_and_pace(self) -> None:
+        """Guards against orders that are sent wrong."""
+        trio.run(self._stop_and_pace)
+
+    def test_no_answer(self) -> None:
+        """Guards against a lost answer that is taken for a refusal."""
+        trio.run(self._no_answer)
+
+    async def _start(self) -> None:
+        async with scripted((200, {'ClockMs': 482113})) as script:
+            answer = await self.calls.start(
+                _address(script),
+                _START,
+                timeout_s=2,
+            )
+            self.assertIs(OrderOutcome.ACCEPTED, answer.outcome)
+            self.assertEqual(482113, answer.clock_ms)
+            self.assertEqual(
+                {
+                    'Task': _TASK,
+                    'Run': 2,
+                    'TaskSpec': '(text)',
+                    'ExpiresMs': 486000,
+                    'Fence': 7,
+                    'Checkpoint': '00000bb87a21d94b',
+                },
+                script.body(0),
+            )
+            sent = script.seen[0].headers
+            self.assertEqual('i-1', sent['x-marjoramwharf-target-instance'])
+
+    async def _refusals(self) -> None:
+        expected = {
+            'fence': OrderOutcome.FENCED,
+            'old': OrderOutcome.RUN_TOO_OLD,
+            'late': OrderOutcome.TOO_LATE,
+            'room': OrderOutcome.NO_ROOM,
+            'ticket': OrderOutcome.BAD_TICKET,
+            'new kind': OrderOutcome.BAD_ORDER,
+        }
+        by_status = {
+            400: OrderOutcome.BAD_ORDER,
+            421: OrderOutcome.OTHER_WORKER,
+            429: OrderOutcome.BUSY,
+            503: OrderOutcome.BUSY,
+            500: OrderOutcome.UNKNOWN,
+        }
+        replies = [(409, {'ClockMs': 1, 'Reason': why}) for why in expected]
+        statuses: list[tuple[int, dict[str, str]]] = [
+            (status, {}) for status in by_status
+        ]
+        async with scripted(*replies, *statuses) as script:
+            for outcome in (*expected.values(), *by_status.values()):
+                answer = await self.calls.start(
+                    _address(script),
+                    _START,
+                    timeout_s=2,
+                )
+                self.assertIs(outcome, answer.outcome)
+
+    async def _hold(self) -> None:
+        lists = {
+            'ClockMs': 482113,
+            'born': 99,
+            'Running': [[_TASK, 2, '0bb8', 41, 17]],
+            'Ended': [[58, _TASK, 1, 'done', ''], [59, _TASK, 2, 'odd', 'c']],
+        }
+        async with scripted((200, lists), (200, [])) as script:
+            order = HoldOrder(7, 57, 486_000, 1_000)
+            report = await self.calls.hold(
+                _address(script),
+                order,
+                timeout_s=2,
+            )
+            self.assertEqual((99, 482113), (report.born_ms, report.clock_ms))
+            self.assertEqual(
+                (41, 17), (report.running[0].percent, report.running[0].reading)
+            )
+            self.assertIs(RunEnd.DONE, report.ended[0].how)
+            self.assertIs(RunEnd.STOPPED, report.ended[1].how)
+            self.assertEqual(
+                {
+                    'Fence': 7,
+                    'LastSeen': 57,
+                    'ExpiresMs': 486000,
+                    'WaitMs': 1000,
+                },
+                script.body(0),
+            )
+            unread = await self.calls.hold(_address(script), order, timeout_s=2)
+            self.assertIs(OrderOutcome.UNKNOWN, unread.outcome)
+
+    async def _stop_and_pace(self) -> None:
+        async with scripted((200, {}), (200, {})) as script:
+            await self.calls.stop(
+                _address(script),
+                StopOrder(_TASK, 2, 7),
+                timeout_s=2,
+            )
+            await self.calls.pace(
+                _address(script),
+                PaceOrder(_TASK, 2, 40, 7),
+                timeout_s=2,
+            )
+            self.assertEqual(
+                {'Task': _TASK, 'Run': 2, 'Fence': 7}, script.body(0)
+            )
+            self.assertEqual(40, script.body(1)['Percent'])
+            targets = [request.target for request in script.seen]
+            self.assertEqual(['/run-stop', '/pace'], targets)
+
+    async def _no_answer(self) -> None:
+        async with scripted(None) as script:
+            answer = await self.calls.start(
+                _address(script),
+                _START,
+                timeout_s=2,
+            )
+            self.assertIs(OrderOutcome.UNKNOWN, answer.outcome)
+        nowhere = WorkerAddress(WorkerId('i-1'), '127.0.0.1', 1)
+        unsent = await self.calls.start(nowhere, _START, timeout_s=2)
+        self.assertIs(OrderOutcome.NOT_SENT, unsent.outcome)
