Keep an occurrence until its last run has ended

Cause: when the first copy of a duplicated task, or the first member of a gang, ended its job, the other runs were forgotten: never stopped, and their room never freed. Change: an occurrence is dropped when it is done and nothing of it runs.

--- a/src/marjoramwharf/scheduling/job_book.py
+++ b/src/marjoramwharf/scheduling/job_book.py
@@ -243,26 +243,29 @@
         """Open what the end of a run allows, or finish the job."""
         if job.phase is JobPhase.FAILED:
             self._finish(job, JobPhase.FAILED, now_s)
+        self._drop_ended(job)
         if not job.is_open:
-            if next(job.live_runs(), None) is None:
-                job.occurrences.clear()
             return
-        occurrence = step.occurrence
-        self._refresh(occurrence, now_s)
-        if occurrence.is_done:
-            job.occurrences.pop(occurrence.number, None)
+        self._refresh(step.occurrence, now_s)
         total = job.request.occurrences_count
-        if not job.occurrences and job.next_occurrence >= total:
+        all_done = all(found.is_done for found in job.occurrences.values())
+        if all_done and job.next_occurrence >= total:
             self._finish(job, JobPhase.DONE, now_s)
 
+    def _drop_ended(self, job: Job) -> None:
+        """Drop the occurrences of which nothing runs or may start."""
+        for number, occurrence in tuple(job.occurrences.items()):
+            is_over = occurrence.is_done or not job.is_open
+            if is_over and next(occurrence.live_runs(), None) is None:
+                job.occurrences.pop(number)
+
     def _finish(self, job: Job, phase: JobPhase, now_s: float) -> None:
         job.phase = phase
         job.finished_s = now_s
         self._repeating.pop(job.job_id, None)
         for task in job.tasks():
             self.ready.pop(task.name, None)
-        if next(job.live_runs(), None) is None:
-            job.occurrences.clear()
+        self._drop_ended(job)
         self._changed(job)
 
     def _refresh(self, occurrence: Occurrence, now_s: float) -> None:
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -173,6 +173,12 @@
         """Whether all steps are done."""
         return all(step.is_done for step in self.steps)
 
+    def live_runs(self) -> Iterator[Run]:
+        """Return all runs that may be at work."""
+        for step in self.steps:
+            for task in step.tasks:
+                yield from task.runs.values()
+
 
 @dataclass(slots=True, eq=False)
 class Job:
--- a/src/marjoramwharf/scheduling/pacing.py
+++ b/src/marjoramwharf/scheduling/pacing.py
@@ -150,7 +150,8 @@
             for past in self._past
         ]
         for run in _at_work(self.worker.filling_runs()):
-            part = _overlap(run.started_s or now_s, now_s, since_s)
+            started_s = now_s if run.started_s is None else run.started_s
+            part = _overlap(started_s, now_s, since_s)
             share = share_of(run, self.worker, run.pace_percent)
             found.append(Pressure(run.step.image, share * part))
         return [pressure for pressure in found if pressure.share > 0]
--- /dev/null
+++ b/tests/scheduling/test_pacing.py
@@ -0,0 +1,159 @@
+"""Pauses of filling work, and the runs that are moved."""
+
+from __future__ import annotations
+
+import unittest
+
+from marjoramwharf.scheduling.fleet import WorkerState
+from marjoramwharf.scheduling.interference import InterferenceModel
+from marjoramwharf.scheduling.job_book import JobBook
+from marjoramwharf.scheduling.job_state import Run, RunEnd
+from marjoramwharf.scheduling.pacing import PaceKeeper
+from marjoramwharf.scheduling.rescue import Trouble, find_rescues
+from tests.scheduling.fixtures import (
+    add_job,
+    first_task,
+    make_step,
+    make_worker,
+    start_run,
+)
+
+_HARM_S = 4.0
+
+
+class PacingTests(unittest.TestCase):
+    """A serving task that is over its target beside a filling one."""
+
+    def setUp(self) -> None:
+        """Run one serving and one filling task."""
+        self.book = JobBook()
+        self.worker = make_worker('w1')
+        self.model = InterferenceModel()
+        self.keeper = PaceKeeper(self.worker, self.model, _HARM_S)
+        serving = make_step(image='s', is_lasting=True, target_tail_ms=18)
+        filling = make_step(image='f', fills=True, cpu_millicores=4_000)
+        self.serving = self._start('a', serving)
+        self.filling = self._start('b', filling)
+
+    def test_pause_before_too_long(self) -> None:
+        """Guards against a tail that is over its target for four seconds."""
+        paused_s = self._play_until_pause()
+        # An order takes 0.1 s to act and readings lag by half a second.
+        self.assertLessEqual(paused_s, _HARM_S - 0.6)
+        self.assertTrue(self.worker.is_paused)
+        self.assertFalse(self.worker.holds(self.filling.step))
+
+    def test_no_pause_for_a_short_peak(self) -> None:
+        """Guards against work that is held back for one high reading."""
+        self._look(18 * 3, now_s=1)
+        self._look(9, now_s=1.4)
+        self.assertFalse(self._look(18 * 3, now_s=2.4))
+
+    def test_work_goes_on_afterwards(self) -> None:
+        """Guards against filling work that stays paused."""
+        at_s = self._play_until_pause()
+        self.filling.pace_percent = 0
+        self.assertEqual(100, self._look(9, now_s=at_s + 1)[self.filling])
+        self.assertFalse(self.worker.is_paused)
+
+    def test_the_model_learns(self) -> None:
+        """Guards against readings that don't reach the model."""
+        before = self.model.weight('f', 's')
+        for number in range(20):
+            self._look(18 * 4, now_s=1 + number)
+            self.keeper.learn(now_s=1 + number)
+        self.assertGreater(self.model.weight('f', 's'), before)
+
+    def _start(self, name: str, step: object) -> Run:
+        job = add_job(self.book, name, step)  # type: ignore[arg-type]
+        return start_run(self.book, first_task(job), self.worker)
+
+    def _look(self, tail_ms: int, *, now_s: float) -> dict[Run, int]:
+        self.serving.reading = tail_ms
+        return dict(self.keeper.decide(now_s=now_s))
+
+    def _play_until_pause(self) -> float:
+        """Return how long the tail can have been over before the pause."""
+        self._look(9, now_s=1)
+        for tenths in range(20, 60, 4):
+            paced = self._look(18 * 3, now_s=tenths / 10)
+            if paced.get(self.filling) == 0:
+                return tenths / 10 - 1
+        return 60
+
+
+class RescueTests(unittest.TestCase):
+    """Workers that leave, stand still or run slowly."""
+
+    def setUp(self) -> None:
+        """Start with one worker."""
+        self.book = JobBook()
+        self.worker = make_worker('w1')
+        self.worker.looked_s = 10
+
+    def test_hung_run(self) -> None:
+        """Guards against a job that waits for a task that stands still."""
+        run = self._start(make_step(), percent=20, now_s=0)
+        run.moved_s = 8
+        self.assertEqual({run: Trouble.HUNG}, self._found(10))
+
+    def test_paused_run_is_not_hung(self) -> None:
+        """Guards against a move of what is held back on purpose."""
+        run = self._start(make_step(fills=True), percent=20, now_s=0)
+        run.moved_s = 8
+        run.paced_until_s = 9
+        self.assertFalse(self._found(10))
+
+    def test_slow_run(self) -> None:
+        """Guards against a step that waits for its slowest worker."""
+        job = add_job(self.book, 'j', make_step(5, has_checkpoints=True))
+        tasks = job.occurrences[0].steps[0].tasks
+        for task in tasks[:4]:
+            run = start_run(self.book, task, make_worker('w2'), now_s=8)
+            self.book.end(
+                run,
+                RunEnd.DONE,
+                saved='',
+                max_attempts=3,
+                now_s=9,
+            )
+        slow = start_run(self.book, tasks[4], self.worker, now_s=8)
+        slow.percent = 30
+        slow.read_s = 10
+        slow.moved_s = 10
+        self.assertEqual({slow: Trouble.SLOW}, self._found(10))
+        slow.percent = 80
+        self.assertFalse(self._found(10))
+
+    def test_leaving_worker(self) -> None:
+        """Guards against work that is lost with its worker."""
+        lasting = self._start(make_step(is_lasting=True), percent=100, now_s=0)
+        short = self._start(make_step(), percent=90, now_s=8)
+        long = self._start(make_step(estimate_ms=9_000), percent=1, now_s=9)
+        self.worker.listing = make_worker(
+            'w1',
+            state=WorkerState.DRAINING,
+        ).listing
+        self.worker.leaves_s = 13
+        self.assertEqual({lasting, long}, set(self._found(10)))
+        self.assertNotIn(short, self._found(10))
+
+    def _start(self, step: object, *, percent: int, now_s: float) -> Run:
+        name = f'j{len(self.book.jobs)}'
+        job = add_job(self.book, name, step)  # type: ignore[arg-type]
+        run = start_run(
+            self.book,
+            first_task(job),
+            self.worker,
+            now_s=now_s,
+        )
+        run.percent = percent
+        run.read_s = 10
+        run.moved_s = 10
+        return run
+
+    def _found(self, now_s: float) -> dict[Run, Trouble]:
+        return {
+            rescue.run: rescue.trouble
+            for rescue in find_rescues(self.worker, now_s=now_s)
+        }
--- /dev/null
+++ b/tests/scheduling/test_placement.py
@@ -0,0 +1,253 @@
+"""Choice of workers, and the order in which steps are placed."""
+
+from __future__ import annotations
+
+import math
+import unittest
+from collections import Counter
+
+from marjoramwharf.scheduling.fleet import Fleet, Room, WorkerState
+from marjoramwharf.scheduling.interference import InterferenceModel, Pressure
+from marjoramwharf.scheduling.job_book import JobBook
+from marjoramwharf.scheduling.job_state import Run
+from marjoramwharf.scheduling.ordering import Tier, step_rank
+from marjoramwharf.scheduling.planner import Planner
+from tests.scheduling.fixtures import (
+    QUEUE,
+    QUEUES,
+    add_job,
+    first_task,
+    make_fleet,
+    make_step,
+    make_worker,
+    start_run,
+)
+
+
+def _plan(
+    book: JobBook,
+    fleet: Fleet,
+    *,
+    now_s: float = 0,
+    model: InterferenceModel | None = None,
+) -> list[Run]:
+    planner = Planner(
+        book,
+        fleet,
+        model or InterferenceModel(),
+        lambda _step: None,
+    )
+    return planner.plan(QUEUES, now_s=now_s, now_ms=int(now_s * 1_000))
+
+
+class RuleTests(unittest.TestCase):
+    """Guards against a start on a worker that must not run a task."""
+
+    def setUp(self) -> None:
+        """Start with an empty book."""
+        self.book = JobBook()
+
+    def test_room(self) -> None:
+        """Guards against more work than a worker holds."""
+        fleet = make_fleet(make_worker('w1', capacity=Room(5_000, 9_000, 0)))
+        add_job(self.book, 'j', make_step(4))
+        self.assertEqual(2, len(_plan(self.book, fleet)))
+
+    def test_label_and_service(self) -> None:
+        """Guards against a worker without the label that a step needs."""
+        fleet = make_fleet(
+            make_worker('w1', labels=('a', 'r1')),
+            make_worker('w2', labels=('b', 'r1')),
+        )
+        add_job(self.book, 'j', make_step(3, required_label='b'))
+        planned = _plan(self.book, fleet)
+        self.assertEqual({'w2'}, {run.worker_id for run in planned})
+
+    def test_limit_per_worker(self) -> None:
+        """Guards against too many tasks of a step on one worker."""
+        fleet = make_fleet(make_worker('w1'), make_worker('w2'))
+        add_job(self.book, 'j', make_step(6, per_worker_limit=2))
+        counts = Counter(run.worker_id for run in _plan(self.book, fleet))
+        self.assertEqual({'w1': 2, 'w2': 2}, dict(counts))
+
+    def test_draining_worker(self) -> None:
+        """Guards against new work on a worker that leaves."""
+        fleet = make_fleet(make_worker('w1', state=WorkerState.DRAINING))
+        add_job(self.book, 'j', make_step())
+        self.assertFalse(_plan(self.book, fleet))
+
+    def test_worker_that_fails_everything(self) -> None:
+        """Guards against a worker that burns the attempts of all jobs."""
+        bad = make_worker('w1')
+        for _ in range(3):
+            bad.note_outcome(has_failed=True, now_s=0)
+        fleet = make_fleet(bad, make_worker('w2'))
+        add_job(self.book, 'j', make_step(8))
+        planned = _plan(self.book, fleet)
+        self.assertEqual({'w2'}, {run.worker_id for run in planned})
+
+    def test_failed_task_goes_elsewhere(self) -> None:
+        """Guards against a task that fails again where it failed."""
+        fleet = make_fleet(make_worker('w1'), make_worker('w2'))
+        job = add_job(self.book, 'j', make_step())
+        first_task(job).failed_workers.add(make_worker('w1').worker_id)
+        planned = _plan(self.book, fleet)
+        self.assertEqual('w2', planned[0].worker_id)
+
+    def test_data_rack(self) -> None:
+        """Guards against a task that runs far from its data."""
+        near = make_worker('w1', labels=('a', 'r2'))
+        start_run(
+            self.book,
+            first_task(add_job(self.book, 'k', make_step())),
+            near,
+        )
+        fleet = make_fleet(make_worker('w2'), near)
+        add_job(self.book, 'j', make_step(2, data_rack='r2'))
+        planned = _plan(self.book, fleet)
+        self.assertEqual({'w1'}, {run.worker_id for run in planned})
+
+    def test_gang_is_whole_or_nothing(self) -> None:
+        """Guards against a part of a gang that holds room and waits."""
+        small = Room(4_000, 9_000, 0)
+        fleet = make_fleet(
+            make_worker('w1', capacity=small, labels=('a', 'r1')),
+            make_worker('w2', capacity=small, labels=('a', 'r2')),
+        )
+        one_rack = make_step(3, is_gang=True, needs_one_rack=True)
+        add_job(self.book, 'j', one_rack)
+        self.assertFalse(_plan(self.book, fleet))
+        self.assertEqual(0, fleet.of_service('presses')[0].cpu_used)
+        add_job(self.book, 'k', make_step(3, is_gang=True))
+        self.assertEqual(3, len(_plan(self.book, fleet)))
+
+    def test_one_rack(self) -> None:
+        """Guards against a step whose tasks run on two racks."""
+        fleet = make_fleet(
+            *(
+                make_worker(name, labels=('a', rack))
+                for name, rack in zip('abcdef', ('r1', 'r2') * 3, strict=True)
+            ),
+        )
+        add_job(self.book, 'j', make_step(12, needs_one_rack=True))
+        racks = {
+            fleet.workers[run.worker_id].listing.rack
+            for run in _plan(self.book, fleet)
+        }
+        self.assertEqual(1, len(racks))
+
+
+class OrderTests(unittest.TestCase):
+    """A burst of jobs for which there is not enough room at once."""
+
+    def test_least_slack_first(self) -> None:
+        """Guards against a job that waits behind one with time to spare."""
+        book = JobBook()
+        fleet = make_fleet(make_worker('w1', capacity=Room(2_000, 9_000, 0)))
+        add_job(book, 'long', make_step(estimate_ms=5_000))
+        add_job(book, 'short', make_step(estimate_ms=300))
+        planned = _plan(book, fleet)
+        self.assertEqual(['short.0.0.0'], [run.task.name for run in planned])
+
+    def test_hopeless_last(self) -> None:
+        """Guards against room for jobs that are late whatever is done."""
+        book = JobBook()
+        fleet = make_fleet(make_worker('w1', capacity=Room(2_000, 9_000, 0)))
+        add_job(book, 'hopeless', make_step(estimate_ms=1_000))
+        add_job(book, 'fresh', make_step(), accepted_at_ms=2_900)
+        planned = _plan(book, fleet, now_s=2.9)
+        self.assertEqual(['fresh.0.0.0'], [run.task.name for run in planned])
+
+    def test_tiers(self) -> None:
+        """Guards against a job that counts as useless too early."""
+        book = JobBook()
+        job = add_job(book, 'j', make_step(estimate_ms=1_000))
+        step = first_task(job).step
+        tiers = [
+            step_rank(step, QUEUE, now_ms=now_ms).tier
+            for now_ms in (0, 2_300, 2_500, 9_001)
+        ]
+        self.assertEqual(
+            [Tier.ON_TIME, Tier.ON_TIME, Tier.LATE, Tier.USELESS],
+            tiers,
+        )
+
+
+class InterferenceTests(unittest.TestCase):
+    """Filling tasks beside serving tasks that they disturb by pair."""
+
+    def setUp(self) -> None:
+        """Serve image ``s`` on w1 and image ``t`` on w2."""
+        self.book = JobBook()
+        self.workers = [make_worker('w1'), make_worker('w2')]
+        self.fleet = make_fleet(*self.workers)
+        for worker, image in zip(self.workers, 'st', strict=True):
+            serving = make_step(
+                4,
+                cpu_millicores=4_000,
+                is_lasting=True,
+                image=image,
+                target_tail_ms=18,
+            )
+            job = add_job(self.book, f'serve-{image}', serving)
+            for task in job.occurrences[0].steps[0].tasks:
+                start_run(self.book, task, worker)
+        self.model = InterferenceModel()
+
+    def _teach(self, serving: str, factor: float) -> None:
+        for _ in range(60):
+            self.model.observe(
+                serving,
+                [Pressure('fill', 0.1)],
+                rest_share=0.45,
+                tail_share=0.45 * factor,
+            )
+
+    def test_goes_where_it_is_tolerated(self) -> None:
+        """Guards against filling work beside what it disturbs."""
+        self._teach('s', 6)
+        self._teach('t', 1)
+        fills = make_step(3, cpu_millicores=3_000, image='fill', fills=True)
+        add_job(self.book, 'j', fills)
+        planned = _plan(self.book, self.fleet, model=self.model)
+        self.assertEqual({'w2'}, {run.worker_id for run in planned})
+
+    def test_waits_while_it_has_time(self) -> None:
+        """Guards against harm that waiting a little would avoid."""
+        self._teach('s', 6)
+        self._teach('t', 6)
+        fills = make_step(2, cpu_millicores=3_000, image='fill', fills=True)
+        add_job(self.book, 'j', fills)
+        add_job(self.book, 'busy', make_step(4, cpu_millicores=6_000))
+        early = _plan(self.book, self.fleet, model=self.model)
+        names = {run.task.step.request.image for run in early}
+        self.assertNotIn('fill', names)
+        late = _plan(self.book, self.fleet, now_s=1.9, model=self.model)
+        self.assertEqual(2, len(late))
+        self.assertEqual(1, len({run.worker_id for run in late}))
+
+    def test_weights_are_learned(self) -> None:
+        """Guards against a model that mixes up two causes."""
+        for number in range(300):
+            shares = (0.1, 0.02) if number % 2 else (0.02, 0.1)
+            pressures = [
+                Pressure('heavy', shares[0]),
+                Pressure('light', shares[1]),
+            ]
+            factor = math.exp(7 * shares[0] + 0.5 * shares[1])
+            self.model.observe(
+                's',
+                pressures,
+                rest_share=0.45,
+                tail_share=0.45 * factor,
+            )
+        self.assertAlmostEqual(7, self.model.weight('heavy', 's'), delta=0.7)
+        self.assertAlmostEqual(0.5, self.model.weight('light', 's'), delta=0.7)
+
+    def test_room_that_is_used(self) -> None:
+        """Guards against filling work beyond the processors."""
+        fills = make_step(40, cpu_millicores=3_000, image='x', fills=True)
+        add_job(self.book, 'j', fills)
+        _plan(self.book, self.fleet, now_s=1.9)
+        for worker in self.workers:
+            self.assertLessEqual(worker.fill_cpu, 32_000 - 0.45 * 16_000)
