Answer on connections that are opened during a drain

Cause: a connection accepted after the drain began was closed unread, so its request was reset. Measured: test_drain fails without the change; tests of the front, the HTTP parts and the follower pass.

--- a/src/marjoramwharf/links/http_server.py
+++ b/src/marjoramwharf/links/http_server.py
@@ -23,6 +23,7 @@
 _LOG = part_logger('http')
 _CHUNK_BYTES = 65_536
 _BACKLOG_COUNT = 512
+_DRAIN_IDLE_S = 1.0
 _TIMED_OUT = 408
 _TOO_LARGE = 413
 
@@ -169,11 +170,11 @@
         stream: trio.abc.Stream,
         protocol: h11.Connection,
     ) -> h11.Request | None:
-        if self.is_draining and not protocol.trailing_data[0]:
-            return None
-        scope = trio.CancelScope(
-            deadline=trio.current_time() + self.limits.idle_timeout_s,
-        )
+        # A connection that is opened during a drain may still ask once.
+        idle_s = self.limits.idle_timeout_s
+        if self.is_draining:
+            idle_s = min(idle_s, _DRAIN_IDLE_S)
+        scope = trio.CancelScope(deadline=trio.current_time() + idle_s)
         with scope:
             while True:
                 event = protocol.next_event()
--- /dev/null
+++ b/tests/cells/test_intake.py
@@ -0,0 +1,189 @@
+"""What callers may ask of any entry, over the platform's front."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+from marjoramwharf.cells.intake import Intake
+from marjoramwharf.cells.owner_link import OwnerLink
+from marjoramwharf.cells.ownership import OwnerView
+from marjoramwharf.cells.records import (
+    CellId,
+    ProgressRecord,
+    encode,
+    progress_key,
+    request_key,
+)
+from marjoramwharf.ids import DataCentreId, EntryId, Incarnation, JobId
+from marjoramwharf.links.http_server import HttpReply, HttpRequest
+from marjoramwharf.links.peer_messages import PeerIdentity
+from marjoramwharf.links.store import Write
+from marjoramwharf.platform.front import Front
+from marjoramwharf.scheduling.job_state import JobPhase
+from standins.polling_store import PollingMemoryStore
+from tests.cells.world import CELL, World, run_with_clock
+
+_ID = JobId('5c0e7a21d94b36f8')
+_PATH = f'/recipes/{_ID}'
+_BODY = b'{"TaskSpec":"t","Steps":[{"Count":1,"Cpu":500}]}'
+
+
+@dataclass
+class _Entry:
+    store: PollingMemoryStore
+    front: Front
+
+    async def ask(
+        self,
+        method: str,
+        path: str = _PATH,
+        *,
+        body: bytes = b'',
+        host: str = 'a.example',
+    ) -> HttpReply:
+        """Send one request to the front."""
+        return await self.front.handle(
+            HttpRequest(
+                method=method,
+                target=path,
+                headers={
+                    'host': host,
+                    'x-marjoramwharf-deadline-ms': '3000',
+                },
+                body=body,
+                arrived_s=trio.current_time(),
+            ),
+        )
+
+
+@asynccontextmanager
+async def _entry(*, configured: bool = True) -> AsyncIterator[_Entry]:
+    store = PollingMemoryStore()
+    identity = PeerIdentity(
+        EntryId('e1'),
+        Incarnation('1'),
+        DataCentreId('ruse'),
+    )
+    link = OwnerLink(OwnerView(), CellId(0), identity, 0.3)
+    world = World()
+    intake = Intake(store, CELL, link, lambda: None)
+    await trio.lowlevel.checkpoint()
+    yield _Entry(
+        store,
+        Front(intake, lambda: world.configuration if configured else None),
+    )
+
+
+def _read(reply: HttpReply) -> Any:
+    return json.loads(reply.body)
+
+
+class FrontTests(unittest.TestCase):
+    """Guards against answers that are not true."""
+
+    def test_paths(self) -> None:
+        """Guards against a queue that does not exist being served."""
+        run_with_clock(self._paths)
+
+    def test_accept_is_stored(self) -> None:
+        """Guards against an accepted job that is lost or stored twice."""
+        run_with_clock(self._accept_is_stored)
+
+    def test_refused_while_down(self) -> None:
+        """Guards against a refusal that comes late or of a stored job."""
+        run_with_clock(self._refused_while_down)
+
+    def test_lost_answer(self) -> None:
+        """Guards against a stored job that its caller is told is refused."""
+        run_with_clock(self._lost_answer)
+
+    def test_unanswered_submission(self) -> None:
+        """Guards against "not run" where the job may still be stored."""
+        run_with_clock(self._unanswered_submission)
+
+    def test_state_without_owner(self) -> None:
+        """Guards against a wrong state while the owner is away."""
+        run_with_clock(self._state_without_owner)
+
+    def test_cancel(self) -> None:
+        """Guards against a cancel that is acknowledged and not stored."""
+        run_with_clock(self._cancel)
+
+    async def _paths(self) -> None:
+        async with _entry() as entry:
+            for path in ('/other/1', '/recipes/short', f'{_PATH}0'):
+                reply = await entry.ask('POST', path, body=_BODY)
+                self.assertEqual(404, reply.status, path)
+            reply = await entry.ask('POST', host='b.example', body=_BODY)
+            self.assertEqual(404, reply.status)
+            self.assertEqual(400, (await entry.ask('POST')).status)
+            self.assertEqual(405, (await entry.ask('PUT')).status)
+            self.assertEqual(410, (await entry.ask('GET')).status)
+            self.assertEqual(410, (await entry.ask('DELETE')).status)
+        async with _entry(configured=False) as entry:
+            self.assertEqual(503, (await entry.ask('GET')).status)
+
+    async def _accept_is_stored(self) -> None:
+        async with _entry() as entry:
+            for _ in range(2):
+                reply = await entry.ask('POST', body=_BODY)
+                self.assertEqual(200, reply.status)
+            keys = list(entry.store.state.stored)
+            self.assertEqual([request_key(CELL, _ID)], keys)
+            state = await entry.ask('GET')
+            self.assertEqual({'State': 'queued'}, _read(state))
+
+    async def _refused_while_down(self) -> None:
+        async with _entry() as entry:
+            entry.store.is_down = True
+            began_s = trio.current_time()
+            reply = await entry.ask('POST', body=_BODY)
+            self.assertEqual(503, reply.status)
+            self.assertIn('Retry-After', dict(reply.headers))
+            self.assertLess(trio.current_time() - began_s, 0.1)
+            self.assertFalse(entry.store.state.stored)
+
+    async def _lost_answer(self) -> None:
+        async with _entry() as entry:
+            entry.store.answers_to_lose = 1
+            reply = await entry.ask('POST', body=_BODY)
+            self.assertEqual(200, reply.status)
+
+    async def _unanswered_submission(self) -> None:
+        async with _entry() as entry:
+            entry.store.commits_to_delay = 1_000
+            reply = await entry.ask('POST', body=_BODY)
+            self.assertEqual(504, reply.status)
+
+    async def _state_without_owner(self) -> None:
+        async with _entry() as entry:
+            await entry.ask('POST', body=_BODY)
+            shown = {
+                JobPhase.OPEN: 'running',
+                JobPhase.DONE: 'completed',
+                JobPhase.FAILED: 'failed',
+                JobPhase.CANCELLED: 'cancelled',
+            }
+            for phase, name in shown.items():
+                record = encode(ProgressRecord(phase, has_begun=True))
+                key = progress_key(CELL, _ID)
+                await entry.store.commit([], [Write(key, record)])
+                state = await entry.ask('GET')
+                self.assertEqual({'State': name}, _read(state))
+            self.assertEqual(503, (await entry.ask('GET', '/recipes/')).status)
+
+    async def _cancel(self) -> None:
+        async with _entry() as entry:
+            await entry.ask('POST', body=_BODY)
+            entry.store.answers_to_lose = 1
+            self.assertEqual(200, (await entry.ask('DELETE')).status)
+            state = await entry.ask('GET')
+            self.assertEqual({'State': 'cancelled'}, _read(state))
+            self.assertEqual(200, (await entry.ask('DELETE')).status)
--- /dev/null
+++ b/tests/links/test_http.py
@@ -0,0 +1,134 @@
+"""The lean client against the lean server, with limits and a drain."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from marjoramwharf.links.http_client import (
+    CallFailed,
+    LeanClient,
+    NotConnected,
+    is_refused,
+)
+from marjoramwharf.links.http_server import (
+    HttpLimits,
+    HttpReply,
+    HttpRequest,
+    HttpServer,
+    open_listener,
+)
+
+
+async def _echo(request: HttpRequest) -> HttpReply:
+    await trio.sleep(float(request.headers.get('x-wait-s', '0')))
+    return HttpReply(200, request.method.encode() + request.body)
+
+
+@asynccontextmanager
+async def _serving(
+    limits: HttpLimits | None = None,
+) -> AsyncIterator[tuple[HttpServer, str]]:
+    server = HttpServer(_echo, limits or HttpLimits())
+    listener = await open_listener('127.0.0.1', 0)
+    port = listener.socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listener)
+        yield server, f'http://127.0.0.1:{port}/'
+        nursery.cancel_scope.cancel()
+
+
+class HttpTests(unittest.TestCase):
+    """Guards against requests that are cut, mixed up or never end."""
+
+    def test_kept_connection(self) -> None:
+        """Guards against a connection for each request."""
+        trio.run(self._kept_connection)
+
+    def test_limits(self) -> None:
+        """Guards against a body that fills the memory."""
+        trio.run(self._limits)
+
+    def test_timeout(self) -> None:
+        """Guards against an answer that belongs to an earlier request."""
+        trio.run(self._timeout)
+
+    def test_nothing_listens(self) -> None:
+        """Guards against an unsent request that counts as unknown."""
+        trio.run(self._nothing_listens)
+
+    def test_drain(self) -> None:
+        """Guards against a request that is cut by a planned stop."""
+        trio.run(self._drain)
+
+    async def _kept_connection(self) -> None:
+        client = LeanClient()
+        async with _serving() as (_, url):
+            for number in range(5):
+                answer = await client.request(
+                    'POST',
+                    url,
+                    body=b'%d' % number,
+                    timeout_s=2,
+                )
+                self.assertEqual(b'POST%d' % number, answer.body)
+        self.assertEqual(1, client.opened_count)
+
+    async def _limits(self) -> None:
+        async with _serving(HttpLimits(body_bytes=10)) as (_, url):
+            answer = await LeanClient().request(
+                'POST',
+                url,
+                body=b'x' * 11,
+                timeout_s=2,
+            )
+            self.assertEqual(413, answer.status)
+
+    async def _timeout(self) -> None:
+        client = LeanClient()
+        async with _serving() as (_, url):
+            with self.assertRaises(CallFailed):
+                await client.request(
+                    'GET',
+                    url,
+                    headers={'X-Wait-S': '5'},
+                    timeout_s=0.1,
+                )
+            answer = await client.request('PUT', url, timeout_s=2)
+            self.assertEqual(b'PUT', answer.body)
+
+    async def _nothing_listens(self) -> None:
+        with self.assertRaises(NotConnected) as caught:
+            await LeanClient().request(
+                'GET',
+                'http://127.0.0.1:1/',
+                timeout_s=2,
+            )
+        self.assertTrue(is_refused(caught.exception))
+
+    async def _drain(self) -> None:
+        client = LeanClient()
+        answers: list[bytes] = []
+
+        async def ask(url: str, wait_s: str) -> None:
+            answer = await client.request(
+                'GET',
+                url,
+                headers={'X-Wait-S': wait_s},
+                timeout_s=5,
+            )
+            answers.append(answer.body)
+
+        async with _serving() as (server, url):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, url, '0')
+                nursery.start_soon(ask, url, '0.3')
+                await trio.sleep(0.1)
+                server.drain()
+            self.assertEqual([b'GET', b'GET'], answers)
+            # The kept connection was closed, so a new one is opened.
+            await ask(url, '0')
+        self.assertEqual(3, client.opened_count)
