--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -12,6 +12,7 @@
 import trio
 
 from marjoramwharf.cells.clocks import boot_s, wall_ms
+from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.forgetting import forget_finished
 from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.place import Bounds
@@ -37,7 +38,7 @@
 )
 from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.ordering import queue_of
-from marjoramwharf.scheduling.planner import Planner
+from marjoramwharf.scheduling.planner import Planner, StepPlan
 from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
 from marjoramwharf.scheduling.rescue import Rescue, Trouble, find_rescues
 
@@ -56,6 +57,9 @@
 # A worker's clock may run slow, so a lease may last this many times longer.
 _SLOW_CLOCK_FACTOR = 1.03
 
+# JSON has no infinity.
+_LARGEST_LOGGED = 1_000_000
+
 _SHOWN_FINAL = {
     JobPhase.DONE: ShownState.DONE,
     JobPhase.FAILED: ShownState.FAILED,
@@ -79,6 +83,7 @@
     decode_listing: ListingDecoder
     bounds: Bounds
     hold_ms: int
+    counters: CellCounters = field(default_factory=CellCounters)
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +134,7 @@
                 fence=mandate.guard.mod_revision,
                 hold_ms=parts.hold_ms,
                 stop_ms=parts.bounds.stop_ms,
+                counters=parts.counters,
             ),
             harm_s=parts.bounds.harm_ms / _MS_PER_S,
             drain_ms=parts.bounds.drain_ms,
@@ -140,6 +146,7 @@
             book=self.book,
             owner=mandate.guard,
             on_stored=self._job_stored,
+            counters=parts.counters,
         )
         self._inbox = Inbox(
             cell=mandate.cell,
@@ -212,6 +219,9 @@
 
     def run_started(self, run: Run) -> None:
         """Take in that a worker has begun a run."""
+        if run.started_s is None:
+            waited_s = boot_s() - run.task.ready_since_s
+            self.parts.counters.wait_samples_s.append(waited_s)
         self.book.started(run, now_s=boot_s())
         self._writer.wake()
 
@@ -221,6 +231,8 @@
         if run.phase is RunPhase.ENDED:
             return job
         now_s = boot_s()
+        was_open = job.is_open
+        self.parts.counters.ends[how] += 1
         self.board.release(run, how, now_s=now_s)
         if how not in {RunEnd.DONE, RunEnd.STOPPED}:
             _log_end(run, how)
@@ -231,10 +243,21 @@
             max_attempts=self._queue_of(run).max_attempts,
             now_s=now_s,
         )
+        if was_open and not job.is_open:
+            self._note_finished(job, now_s)
         self._stop_surplus(job)
         self._wake()
         return job
 
+    def _note_finished(self, job: Job, now_s: float) -> None:
+        self.parts.counters.finished_jobs[job.phase] += 1
+        _LOG.info(
+            'job finished',
+            job=job.job_id,
+            phase=job.phase.name.lower(),
+            known_s=round(now_s - job.learned_s, 3),
+        )
+
     def looked(self, link: WorkerLink) -> None:
         """Take in a look at a worker."""
         self.board.pace(link)
@@ -269,6 +292,8 @@
             now_s=now_s,
             now_ms=now_ms,
         )
+        for plan in planned:
+            _log_plan(plan, configuration.version)
         if planned:
             self._writer.wake()
 
@@ -340,6 +365,7 @@
             trouble=rescue.trouble.value,
             percent=run.percent,
         )
+        self.parts.counters.moved_runs_count += 1
         if run.step.may_duplicate and not run.step.is_lasting:
             if is_alone:
                 self._planner.duplicate(run.task, queue.service, now_s=now_s)
@@ -359,6 +385,22 @@
                 self.run_ended(run, RunEnd.VANISHED, '')
 
 
+def _log_plan(plan: StepPlan, config_version: int) -> None:
+    step = plan.runs[0].task.step
+    _LOG.info(
+        'runs planned',
+        job=step.occurrence.job.job_id,
+        occurrence=step.occurrence.number,
+        step=step.number,
+        count=len(plan.runs),
+        workers=sorted({run.worker_id for run in plan.runs}),
+        tier=plan.rank.tier.name.lower(),
+        slack_ms=round(plan.rank.slack_ms),
+        allowed_harm=round(min(plan.allowed_harm, _LARGEST_LOGGED), 1),
+        config=config_version,
+    )
+
+
 def _log_end(run: Run, how: RunEnd) -> None:
     _LOG.info(
         'run ended',
--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import trio
 
+from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.cells.intake_outcomes import Submission
 from marjoramwharf.cells.owner_link import CellSource, OwnerLink
 from marjoramwharf.cells.records import (
     CellId,
@@ -47,19 +48,6 @@
 }
 
 
-@enum.unique
-class Submission(enum.Enum):
-    """What became of a submission.
-
-    ``REFUSED`` is a proof that the job was not stored and never will be by
-    this request. After ``UNKNOWN`` it may be stored.
-    """
-
-    ACCEPTED = 'accepted'
-    REFUSED = 'refused'
-    UNKNOWN = 'unknown'
-
-
 @dataclass(slots=True)
 class Intake:
     """The callers' side of a cell at one entry."""
@@ -68,7 +56,7 @@
     cell: CellId
     owner: OwnerLink
     local: CellSource
-    _known: dict[JobId, int] = field(default_factory=dict)
+    counters: CellCounters = field(default_factory=CellCounters)
 
     async def submit(
         self,
@@ -77,6 +65,15 @@
         deadline_s: float,
     ) -> Submission:
         """Store a job; a repeat of a known one is accepted again."""
+        outcome = await self._store(request, deadline_s)
+        self.counters.submissions[outcome] += 1
+        return outcome
+
+    async def _store(
+        self,
+        request: JobRequest,
+        deadline_s: float,
+    ) -> Submission:
         key = request_key(self.cell, request.job_id)
         write = Write(key, encode(request))
         is_unknown = False
--- a/src/marjoramwharf/cells/progress_writer.py
+++ b/src/marjoramwharf/cells/progress_writer.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.records import (
     CellId,
     encode,
@@ -70,7 +71,6 @@
 
     ``owner`` is the condition that this entry still owns the cell.
     ``on_stored`` is called for each job after a version of it was stored.
-    ``written_count`` and ``written_bytes`` are for the metrics.
     """
 
     store: PollingStore
@@ -78,8 +78,7 @@
     book: JobBook
     owner: Guard
     on_stored: OnStored
-    written_count: int = 0
-    written_bytes: int = 0
+    counters: CellCounters = field(default_factory=CellCounters)
     is_failing: bool = False
     _in_flight: set[JobId] = field(default_factory=set)
     _unanswered: dict[JobId, list[_Snapshot]] = field(default_factory=dict)
@@ -137,6 +136,7 @@
             key = progress_key(self.cell, snapshot.job.job_id)
             guards.append(Guard(key, snapshot.job.stored_revision))
             writes.append(Write(key, snapshot.body))
+        began_s = trio.current_time()
         try:
             outcome = await self.store.commit(guards, writes)
         except StoreAnswerLost as lost:
@@ -151,6 +151,8 @@
         if isinstance(outcome, Conflict):
             self._resolve(group, outcome)
             return False
+        took_s = trio.current_time() - began_s
+        self.counters.write_samples_s.append(took_s)
         self._note_stored(group, outcome)
         return False
 
@@ -167,8 +169,10 @@
         if self.is_failing:
             _LOG.info('writes succeed again')
         self.is_failing = False
-        self.written_count += 1
-        self.written_bytes += sum(len(snapshot.body) for snapshot in group)
+        self.counters.commits_count += 1
+        self.counters.written_bytes += sum(
+            len(snapshot.body) for snapshot in group
+        )
         for snapshot in group:
             self._adopt(snapshot, outcome.revision)
 
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -14,6 +14,7 @@
 import trio
 
 from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_messages import (
     EndReport,
@@ -93,6 +94,7 @@
     fence: int
     hold_ms: int
     stop_ms: int
+    counters: CellCounters = field(default_factory=CellCounters)
 
 
 @dataclass(slots=True, eq=False)
@@ -154,6 +156,7 @@
             if answer.outcome is not OrderOutcome.UNKNOWN:
                 break
             run.is_doubtful = True
+        self.terms.counters.starts[answer.outcome] += 1
         if answer.outcome is OrderOutcome.ACCEPTED:
             self.owner.run_started(run)
         elif answer.outcome is OrderOutcome.FENCED:
@@ -187,6 +190,7 @@
 
     async def pace(self, run: Run, percent: int) -> None:
         """Let a run work at a share of its speed; one attempt."""
+        self.terms.counters.pace_orders_count += 1
         order = PaceOrder(run.task.name, run.number, percent, self.terms.fence)
         answer = await self.terms.calls.pace(
             self.address,
--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -91,7 +91,8 @@
         """Send a request and return the whole answer.
 
         A request on a kept connection that ends without a byte of an answer
-        is sent once more on a new one, so requests have to be idempotent.
+        is sent once more on a new one, so requests have to be idempotent. A
+        ``Host`` among the headers replaces that of the address.
         Raises ``NotConnected`` if nothing was sent, else ``CallFailed``.
         """
         parts = urlsplit(url)
@@ -99,11 +100,13 @@
         sent = h11.Request(
             method=method,
             target=url.removeprefix(f'{parts.scheme}://{parts.netloc}'),
-            headers=[
-                ('Host', parts.netloc),
-                ('Content-Length', str(len(body))),
-                *(headers or {}).items(),
-            ],
+            headers=list(
+                {
+                    'Host': parts.netloc,
+                    'Content-Length': str(len(body)),
+                    **(headers or {}),
+                }.items(),
+            ),
         )
         with trio.move_on_after(timeout_s):
             try:
--- a/src/marjoramwharf/logs.py
+++ b/src/marjoramwharf/logs.py
@@ -14,12 +14,29 @@
 
 import structlog
 
+from marjoramwharf.log_output import BoundedOutput
+
 # Values under these names never reach a log line.
 _SECRET_FIELDS = frozenset(('peer_secret', 'operator_token', 'proof', 'token'))
 
 
-def configure_logs(*, as_json: bool, level: int = logging.INFO) -> None:
-    """Send logs to standard error, as JSON lines or for people."""
+def configure_logs(
+    *,
+    as_json: bool,
+    level: int = logging.INFO,
+    output: BoundedOutput | None = None,
+) -> None:
+    """Send logs to an output, as JSON lines or for people.
+
+    Without ``output`` they go to standard error, as a command line wants it.
+    """
+    factory: Any = structlog.PrintLoggerFactory(file=sys.stderr)
+    if output is not None:
+
+        def bounded(*_args: Any) -> BoundedOutput:
+            return output
+
+        factory = bounded
     renderer: Any = structlog.dev.ConsoleRenderer(colors=False)
     if as_json:
         renderer = structlog.processors.JSONRenderer(sort_keys=True)
@@ -34,7 +51,8 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=factory,
+        cache_logger_on_first_use=output is not None,
     )
 
 
--- a/src/marjoramwharf/platform/front.py
+++ b/src/marjoramwharf/platform/front.py
@@ -9,7 +9,8 @@
 import trio
 
 from marjoramwharf.cells.clocks import wall_ms
-from marjoramwharf.cells.intake import Intake, Submission, with_retries
+from marjoramwharf.cells.intake import Intake, with_retries
+from marjoramwharf.cells.intake_outcomes import Submission
 from marjoramwharf.errors import BadJob, Failure
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.http_server import HttpReply, HttpRequest
@@ -53,6 +54,12 @@
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Answer one request."""
+        reply = await self._answer(request)
+        took_s = trio.current_time() - request.arrived_s
+        self.intake.counters.answer_samples_s.append(took_s)
+        return reply
+
+    async def _answer(self, request: HttpRequest) -> HttpReply:
         configuration = self.configuration()
         if configuration is None:
             return _NOT_READY
--- /dev/null
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -0,0 +1,141 @@
+"""The metrics of an entry on the platform, in the text format of Prometheus.
+
+The library takes half a second of processor time to import, which an entry
+can't spare at its start; it is imported in a thread at the first request.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.links.http_client import LeanClient
+from marjoramwharf.links.http_server import HttpReply, HttpRequest
+from marjoramwharf.log_output import BoundedOutput
+
+_PREFIX = 'marjoramwharf_'
+_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+_NOT_FOUND = 404
+
+
+@dataclass(slots=True)
+class CellMetrics:
+    """Answers requests for the metrics.
+
+    ``cell`` returns the cell that this entry owns, if any.
+    """
+
+    counters: CellCounters
+    client: LeanClient
+    output: BoundedOutput | None
+    cell: Callable[[], Cell | None]
+    _page: Any = None
+    _lock: trio.Lock = field(default_factory=trio.Lock)
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer ``GET /metrics``."""
+        if request.target.partition('?')[0] != '/metrics':
+            return HttpReply(_NOT_FOUND)
+        async with self._lock:
+            if self._page is None:
+                self._page = await trio.to_thread.run_sync(_Page)
+            text: bytes = self._page.render(self._values(), self._samples())
+        return HttpReply(200, text, content_type='text/plain; version=0.0.4')
+
+    def _values(self) -> Mapping[str, Mapping[str, float]]:
+        """Return totals by metric and label; '' for a metric without one."""
+        counters = self.counters
+        return {
+            'submissions_total': _by_value(counters.submissions),
+            'starts_total': _by_value(counters.starts),
+            'run_ends_total': _by_value(counters.ends),
+            'finished_jobs_total': {
+                phase.name.lower(): count
+                for phase, count in counters.finished_jobs.items()
+            },
+            'tenures_total': {'': counters.tenures_count},
+            'pace_orders_total': {'': counters.pace_orders_count},
+            'moved_runs_total': {'': counters.moved_runs_count},
+            'store_commits_total': {'': counters.commits_count},
+            'store_written_bytes_total': {'': counters.written_bytes},
+            'connections_opened_total': {'': self.client.opened_count},
+            'log_lines_left_out_total': {
+                '': self.output.left_out_count if self.output else 0,
+            },
+            **self._cell_values(),
+        }
+
+    def _cell_values(self) -> Mapping[str, Mapping[str, float]]:
+        cell = self.cell()
+        if cell is None:
+            return {'owns_cell': {'': 0}}
+        workers = cell.board.fleet.workers.values()
+        return {
+            'owns_cell': {'': 1},
+            'ready_tasks': {'': len(cell.book.ready)},
+            'unstored_jobs': {'': len(cell.book.unstored)},
+            'workers': {
+                'reachable': sum(worker.is_reachable for worker in workers),
+                'unreachable': sum(
+                    not worker.is_reachable for worker in workers
+                ),
+            },
+        }
+
+    def _samples(self) -> Mapping[str, deque[float]]:
+        return {
+            'task_wait_seconds': self.counters.wait_samples_s,
+            'store_commit_seconds': self.counters.write_samples_s,
+            'answer_seconds': self.counters.answer_samples_s,
+        }
+
+
+class _Page:
+    """The registry of the metrics library."""
+
+    def __init__(self) -> None:
+        """Import the library; slow, so it is done in a thread."""
+        from aioprometheus import collectors, formats
+
+        self._collectors = collectors
+        self._registry = collectors.Registry()
+        self._formatter = formats.text.TextFormatter()
+        self._known: dict[str, Any] = {}
+
+    def render(
+        self,
+        totals: Mapping[str, Mapping[str, float]],
+        samples: Mapping[str, deque[float]],
+    ) -> bytes:
+        """Return the page; samples are taken out of their queues."""
+        for name, by_label in totals.items():
+            metric = self._metric(name, self._collectors.Gauge)
+            for label, count in by_label.items():
+                metric.set({'kind': label} if label else {}, count)
+        for name, queue in samples.items():
+            histogram = self._metric(name, self._collectors.Histogram)
+            while queue:
+                histogram.add({}, queue.popleft())
+        return bytes(self._formatter.marshall(self._registry))
+
+    def _metric(self, name: str, kind: Any) -> Any:
+        if name not in self._known:
+            options: dict[str, Any] = {'registry': self._registry}
+            if kind is self._collectors.Histogram:
+                options['buckets'] = list(_BUCKETS_S)
+            self._known[name] = kind(
+                _PREFIX + name,
+                name.replace('_', ' '),
+                **options,
+            )
+        return self._known[name]
+
+
+def _by_value(counts: Mapping[Any, int]) -> dict[str, float]:
+    return {member.value: count for member, count in counts.items()}
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -21,6 +21,7 @@
 from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
 from marjoramwharf.cells.place import EntryPlace
 from marjoramwharf.cells.records import OWNERS_PREFIX, CellId, OwnerRecord
+from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.errors import BadSettings
 from marjoramwharf.ids import Incarnation, random_id
 from marjoramwharf.links.follower import Apply, Follower
@@ -32,6 +33,7 @@
 from marjoramwharf.links.peer_messages import PeerIdentity
 from marjoramwharf.links.peer_server import PeerServer
 from marjoramwharf.links.thrift_types.peer import ttypes
+from marjoramwharf.log_output import BoundedOutput
 from marjoramwharf.logs import configure_logs, part_logger
 from marjoramwharf.platform import boot
 from marjoramwharf.platform.front import Front, answer_ready
@@ -45,9 +47,13 @@
     WORKERS_PREFIX,
     decode_listing,
 )
+from marjoramwharf.programs._cell_metrics import CellMetrics
 
 _LOG = part_logger('main')
 _CELL = CellId(0)
+
+# Named in deploy/system.toml.
+METRICS_PORT = 9464
 _CONFIG_PREFIX = 'op/'
 _MS_PER_S = 1_000
 
@@ -91,6 +97,8 @@
             decode_configuration,
         ),
     )
+    output: BoundedOutput | None = None
+    counters: CellCounters = field(default_factory=CellCounters)
     cell: Cell | None = None
     is_stopping: bool = False
     store: KvStore = field(init=False)
@@ -131,7 +139,13 @@
             cpu_share=place.cpu_share,
             run_cell=self.run_cell,
         )
-        intake = Intake(self.store, _CELL, self.owner_link, self.owned_cell)
+        intake = Intake(
+            self.store,
+            _CELL,
+            self.owner_link,
+            self.owned_cell,
+            self.counters,
+        )
         handler = Front(intake, lambda: self.config.current)
         self.front = HttpServer(handler.handle)
 
@@ -201,9 +215,11 @@
                 decode_listing=decode_listing,
                 bounds=self.place.bounds,
                 hold_ms=round(self.place.bounds.max_hold_ms * _HOLD_SHARE),
+                counters=self.counters,
             ),
         )
         self.cell = cell
+        self.counters.tenures_count += 1
         try:
             await cell.run()
         finally:
@@ -221,6 +237,7 @@
             ready = HttpServer(partial(answer_ready, self.is_ready))
             listener = await open_listener(*place.ready)
             nursery.start_soon(ready.serve, listener)
+        await self._listen_for_metrics(nursery)
         peers = PeerServer(
             {ttypes.JobCall: partial(answer_job_call, self.owned_cell)},
             identity=self.identity,
@@ -229,6 +246,20 @@
         listener = await open_listener(place.host, place.peer_ports[0])
         nursery.start_soon(_serve_peers, peers, listener)
 
+    async def _listen_for_metrics(self, nursery: trio.Nursery) -> None:
+        metrics = CellMetrics(
+            self.counters,
+            self.client,
+            self.output,
+            self.owned_cell,
+        )
+        try:
+            listener = await open_listener(self.place.host, METRICS_PORT)
+        except OSError as failure:
+            _LOG.warning('no metrics', error=str(failure))
+            return
+        nursery.start_soon(HttpServer(metrics.handle).serve, listener)
+
     async def _wait_for_stop(self) -> None:
         with trio.open_signal_receiver(
             signal.SIGTERM,
@@ -270,13 +301,14 @@
 
 def main() -> None:
     """Run the daemon with the platform's settings file."""
-    configure_logs(as_json=True)
+    output = BoundedOutput(sys.stdout.fileno())
+    configure_logs(as_json=True, output=output)
     try:
         place = boot.load_place(boot.settings_path())
     except BadSettings as failure:
         _LOG.error('settings refused', error=str(failure))
         sys.exit(2)
-    trio.run(Entry(place).run)
+    trio.run(Entry(place, output=output).run)
 
 
 if __name__ == '__main__':
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -44,6 +44,15 @@
 TicketSource = Callable[[Step], Tickets | None]
 
 
+@dataclass(frozen=True, slots=True)
+class StepPlan:
+    """Runs of one step that start now, and what decided it."""
+
+    runs: Sequence[Run]
+    rank: Rank
+    allowed_harm: float
+
+
 @dataclass(frozen=True, slots=True)
 class Planner:
     """Places the ready tasks of a book on the workers of a fleet."""
@@ -59,7 +68,7 @@
         *,
         now_s: float,
         now_ms: int,
-    ) -> list[Run]:
+    ) -> list[StepPlan]:
         """Plan runs for what fits now; they are reserved but not ordered."""
         tasks = [
             task
@@ -78,7 +87,7 @@
             )
             for number, group in enumerate(groups)
         )
-        planned: list[Run] = []
+        planned: list[StepPlan] = []
         for rank, number in ranked:
             group = groups[number]
             queue = queue_of(group[0], queues)
@@ -87,7 +96,9 @@
                 now_s,
                 allowed_harm=self._allowed_harm(group[0], rank, now_s),
             )
-            planned.extend(self._place_group(group, queue.service, choice))
+            runs = self._place_group(group, queue.service, choice)
+            if runs:
+                planned.append(StepPlan(runs, rank, choice.allowed_harm))
         return planned
 
     def has_place(self, task: Task, service: str, *, now_s: float) -> bool:
--- /dev/null
+++ b/standins/platform_process.py
@@ -0,0 +1,88 @@
+"""A process that stands in for the users' platform on loopback.
+
+    python -m standins.platform_process --port 7000 --workers 4
+
+The store listens on the port, workers on the ports after it. The workers are
+listed and a configuration is in force from the start.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+
+import trio
+
+from marjoramwharf.links.http_server import HttpServer, open_listener
+from marjoramwharf.links.store import Write
+from standins.platform_wire import StoreWire, WorkerWire
+from standins.run_worker import RunWorker
+
+HOST = '127.0.0.1'
+QUEUE_HOST = 'jobs.example'
+QUEUE_PREFIX = '/recipes/'
+
+_SERVICE = 'presses'
+
+
+def configuration(version: int) -> bytes:
+    """Return a configuration with one queue."""
+    route = {
+        'Name': 'recipes',
+        'Host': QUEUE_HOST,
+        'Prefix': QUEUE_PREFIX,
+        'Service': _SERVICE,
+        'TimeoutMs': 3_000,
+        'TargetLatencyMs': 1_000,
+        'MaxAttempts': 3,
+        'Stretch': 2.0,
+    }
+    service = {'Name': _SERVICE, 'RejectsOverload': True}
+    body = {'Version': version, 'Routes': [route], 'Services': [service]}
+    return json.dumps(body).encode()
+
+
+def worker_entry(port: int, rack: str) -> bytes:
+    """Return what a worker writes of itself."""
+    body = {
+        'Service': _SERVICE,
+        'Address': f'{HOST}:{port}',
+        'Zone': 'ruse',
+        'State': 'ready',
+        'Slots': 8,
+        'Capacity': {'Cpu': 32_000, 'MemMb': 128_000, 'Gpu': 0},
+        'Labels': ['a', rack],
+        'Seq': 1,
+    }
+    return json.dumps(body).encode()
+
+
+async def serve_platform(port: int, workers_count: int) -> None:
+    """Serve store and workers until cancelled."""
+    store = StoreWire()
+    store.state.apply([Write('op/config', configuration(1))])
+    async with trio.open_nursery() as nursery:
+        for number in range(1, workers_count + 1):
+            wire = WorkerWire(RunWorker(trio.current_time()))
+            listener = await open_listener(HOST, port + number)
+            nursery.start_soon(HttpServer(wire.handle).serve, listener)
+            rack = 'r1' if number % 2 else 'r2'
+            entry = worker_entry(port + number, rack)
+            store.state.apply([Write(f'servers/w{number}', entry)])
+        listener = await open_listener(HOST, port)
+        nursery.start_soon(HttpServer(store.handle).serve, listener)
+        print(f'platform: listening on {HOST}:{port}', flush=True)
+        await trio.sleep_forever()
+
+
+def main() -> None:
+    """Serve with the options of the command line."""
+    parser = argparse.ArgumentParser(prog='platform_process')
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--workers', type=int, default=4)
+    options = parser.parse_args()
+    trio.run(serve_platform, options.port, options.workers)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/platform_wire.py
@@ -0,0 +1,270 @@
+"""The wire of the stand-in platform: store and workers over HTTP.
+
+The names are those of the users' platform; the state behind them is that of
+``kv_state`` and ``run_worker``.
+"""
+
+from __future__ import annotations
+
+import json
+from base64 import b64decode, b64encode
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import trio
+
+from marjoramwharf.cells.worker_messages import (
+    HoldOrder,
+    OrderAnswer,
+    OrderOutcome,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+)
+from marjoramwharf.ids import LeaseId, TaskId
+from marjoramwharf.links.http_server import HttpReply, HttpRequest
+from marjoramwharf.links.store import Guard, StoredValue, StoreEvent, Write
+from standins.kv_state import KeyValueState
+from standins.run_worker import RunWorker
+
+_MS_PER_S = 1_000
+_PAGE_COUNT = 500
+_STEP_S = 0.005
+
+_REASONS = {
+    OrderOutcome.FENCED: 'fence',
+    OrderOutcome.RUN_TOO_OLD: 'old',
+    OrderOutcome.TOO_LATE: 'late',
+    OrderOutcome.NO_ROOM: 'room',
+}
+
+
+def json_reply(body: Any, status: int = 200) -> HttpReply:
+    """Return an answer with a JSON body."""
+    return HttpReply(status, json.dumps(body).encode())
+
+
+@dataclass
+class StoreWire:
+    """Serves a ``KeyValueState``.
+
+    ``refuse`` answers every call with 503. Of the coming writes,
+    ``answers_to_lose`` are carried out on a connection that is then cut.
+    """
+
+    state: KeyValueState = field(default_factory=KeyValueState)
+    refuse: bool = False
+    answers_to_lose: int = 0
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one call."""
+        if self.refuse:
+            return json_reply({}, 503)
+        self.state.lapse_leases(trio.current_time())
+        parts = urlsplit(request.target)
+        query = {
+            name: found[0] for name, found in parse_qs(parts.query).items()
+        }
+        body = json.loads(request.body or b'{}')
+        call = f'{request.method} {parts.path}'
+        if call == 'GET /kv-watch':
+            return await self._watch(query)
+        reply = self._reads(call, query) or self._writes(call, body)
+        if request.method == 'POST' and self.answers_to_lose:
+            self.answers_to_lose -= 1
+            raise trio.BrokenResourceError
+        return reply
+
+    def _reads(self, call: str, query: dict[str, str]) -> HttpReply | None:
+        if call == 'GET /kv-key':
+            stored = self.state.stored.get(query['Key'])
+            if stored is None:
+                return json_reply({}, 404)
+            return json_reply(self._item(stored))
+        if call == 'GET /kv-range':
+            found = [
+                stored
+                for stored in self.state.below(query['Prefix'])
+                if stored.key > query.get('After', '')
+            ]
+            return json_reply(
+                {
+                    'items': [self._item(one) for one in found[:_PAGE_COUNT]],
+                    'HasMore': len(found) > _PAGE_COUNT,
+                    'CurrentRev': self.state.revision,
+                },
+            )
+        return None
+
+    def _writes(self, call: str, body: dict[str, Any]) -> HttpReply:
+        now_s = trio.current_time()
+        verb, _, argument = call.rpartition('/')
+        if call == 'POST /kv-txn':
+            return self._transact(body)
+        if call == 'POST /kv-lease':
+            ttl_s = body['TtlMs'] / _MS_PER_S
+            lease = self.state.grant_lease(ttl_s, now_s)
+            return json_reply({'Lease': lease, 'TtlMs': body['TtlMs']})
+        if verb == 'POST /kv-keep':
+            left_s = self.state.keep_alive(LeaseId(int(argument)), now_s)
+            return json_reply(
+                {'TtlMs': left_s * _MS_PER_S}, 200 if left_s else 404
+            )
+        if verb == 'DELETE /kv-lease-end':
+            self.state.revoke_lease(LeaseId(int(argument)))
+            return json_reply({})
+        return json_reply({}, 404)
+
+    def _transact(self, body: dict[str, Any]) -> HttpReply:
+        guards = [
+            Guard(row['Key'], row['Revision']) for row in body.get('Expect', ())
+        ]
+        if not self.state.holds(guards):
+            found = [
+                self._item(self.state.stored[guard.key])
+                for guard in guards
+                if guard.key in self.state.stored
+            ]
+            return json_reply({'items': found}, 412)
+        writes = [
+            Write(
+                row['Key'],
+                b64decode(row['Value']),
+                LeaseId(row['Lease']) if row.get('Lease') else None,
+            )
+            for row in body.get('Puts', ())
+        ]
+        writes += [Write(key, None) for key in body.get('Remove', ())]
+        try:
+            return json_reply({'Revision': self.state.apply(writes)})
+        except ValueError:
+            return json_reply({}, 404)
+
+    async def _watch(self, query: dict[str, str]) -> HttpReply:
+        after = int(query['After'])
+        until_s = trio.current_time() + int(query['WaitMs']) / _MS_PER_S
+        if after < self.state.compacted_revision:
+            return json_reply({}, 410)
+        while True:
+            self.state.lapse_leases(trio.current_time())
+            found = self.state.changes_after(after, query['Prefix'])
+            if found or trio.current_time() > until_s:
+                events = [
+                    self._event(event, revision)
+                    for revision, batch in found
+                    for event in batch
+                ]
+                return json_reply(
+                    {'events': events, 'CurrentRev': self.state.revision},
+                )
+            await trio.sleep(_STEP_S)
+
+    def _event(self, event: StoreEvent, revision: int) -> dict[str, Any]:
+        if event.stored is None:
+            return {'Key': event.key, 'Revision': revision, 'Deleted': True}
+        return self._item(event.stored)
+
+    def _item(self, stored: StoredValue) -> dict[str, Any]:
+        return {
+            'Key': stored.key,
+            'Value': b64encode(stored.body).decode(),
+            'Revision': stored.mod_revision,
+            'Created': stored.create_revision,
+            'CurrentRev': self.state.revision,
+        }
+
+
+@dataclass
+class WorkerWire:
+    """Serves a ``RunWorker``, and its starts at ``/starts`` for checks.
+
+    Of the coming starts, ``starts_to_lose`` are carried out on a connection
+    that is then cut.
+    """
+
+    worker: RunWorker
+    starts_to_lose: int = 0
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one call."""
+        body = json.loads(request.body or b'{}')
+        path = urlsplit(request.target).path
+        if path == '/hold':
+            return await self._hold(body)
+        if path == '/starts':
+            return json_reply(self.worker.starts)
+        orders: dict[str, Callable[[Any], OrderAnswer]] = {
+            '/run-start': self._start,
+            '/run-stop': self._stop,
+            '/pace': self._pace,
+        }
+        order = orders.get(path)
+        if order is None:
+            return json_reply({}, 404)
+        answer = order(body)
+        if path == '/run-start' and self.starts_to_lose:
+            self.starts_to_lose -= 1
+            raise trio.BrokenResourceError
+        reason = _REASONS.get(answer.outcome)
+        if reason is None:
+            return json_reply({'ClockMs': answer.clock_ms})
+        return json_reply({'ClockMs': answer.clock_ms, 'Reason': reason}, 409)
+
+    def _start(self, body: dict[str, Any]) -> OrderAnswer:
+        order = StartOrder(
+            task=TaskId(body['Task']),
+            run=body['Run'],
+            payload=body['TaskSpec'],
+            expires_ms=body['ExpiresMs'],
+            fence=body.get('Fence', 0),
+            checkpoint=body.get('Checkpoint', ''),
+        )
+        return self.worker.start(order, trio.current_time())
+
+    def _stop(self, body: dict[str, Any]) -> OrderAnswer:
+        order = StopOrder(
+            TaskId(body['Task']),
+            body['Run'],
+            body.get('Fence', 0),
+        )
+        return self.worker.stop(order, trio.current_time())
+
+    def _pace(self, body: dict[str, Any]) -> OrderAnswer:
+        order = PaceOrder(
+            TaskId(body['Task']),
+            body['Run'],
+            body['Percent'],
+            body.get('Fence', 0),
+        )
+        return self.worker.pace(order, trio.current_time())
+
+    async def _hold(self, body: dict[str, Any]) -> HttpReply:
+        order = HoldOrder(
+            fence=body.get('Fence', 0),
+            noted_end=body.get('LastSeen', 0),
+            expires_ms=body.get('ExpiresMs'),
+            wait_ms=body.get('WaitMs', 0),
+        )
+        until_s = trio.current_time() + order.wait_ms / _MS_PER_S
+        report = self.worker.hold(order, trio.current_time())
+        while not report.ended and trio.current_time() < until_s:
+            if report.outcome is OrderOutcome.FENCED:
+                return json_reply({'Reason': 'fence'}, 409)
+            await trio.sleep(_STEP_S)
+            report = self.worker.hold(order, trio.current_time())
+        return json_reply(
+            {
+                'ClockMs': report.clock_ms,
+                'born': report.born_ms,
+                'Running': [
+                    [row.task, row.run, row.saved, row.percent, row.reading]
+                    for row in report.running
+                ],
+                'Ended': [
+                    [row.number, row.task, row.run, row.how.value, row.saved]
+                    for row in report.ended
+                ],
+            },
+        )
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -37,7 +37,8 @@
         model or InterferenceModel(),
         lambda _step: None,
     )
-    return planner.plan(QUEUES, now_s=now_s, now_ms=int(now_s * 1_000))
+    plans = planner.plan(QUEUES, now_s=now_s, now_ms=int(now_s * 1_000))
+    return [run for plan in plans for run in plan.runs]
 
 
 class RuleTests(unittest.TestCase):
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 _KB_BYTES = 1_024
@@ -34,6 +35,7 @@
     name: str
     arguments: tuple[str, ...]
     log_path: pathlib.Path
+    environment: Mapping[str, str] = field(default_factory=dict)
     popen: subprocess.Popen[bytes] = field(init=False)
     _cpu_mark_s: float = 0
 
@@ -49,6 +51,7 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
+                env={**os.environ, **self.environment},
             )
 
     def send(self, number: signal.Signals) -> None:
