Take a start that is refused as too old for one that has begun; ask for tickets

Cause: the client sends an order again when a kept connection ends without an answer. Change: such a refusal shows that the run has begun, and the next look tells its end. Queues with advice get tickets; jobs that no worker could hold are refused at once with 429.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from marjoramwharf.cells.advice import AdviceCalls, TicketBook
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.forgetting import forget_finished
@@ -36,11 +37,12 @@
     RunEnd,
     RunPhase,
 )
-from marjoramwharf.scheduling.fleet import Worker
+from marjoramwharf.scheduling.fleet import Worker, WorkerState
 from marjoramwharf.scheduling.ordering import queue_of
 from marjoramwharf.scheduling.planner import Planner, StepPlan
 from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
 from marjoramwharf.scheduling.rescue import Rescue, Trouble, find_rescues
+from marjoramwharf.scheduling.workload import JobRequest
 
 _LOG = part_logger('cell')
 
@@ -84,6 +86,7 @@
     bounds: Bounds
     hold_ms: int
     counters: CellCounters = field(default_factory=CellCounters)
+    advice: AdviceCalls | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +120,7 @@
     _plan_signal: Signal = field(default_factory=Signal)
     _writer: ProgressWriter = field(init=False)
     _planner: Planner = field(init=False)
+    _tickets: TicketBook = field(init=False)
     _inbox: Inbox = field(init=False)
 
     def __post_init__(self) -> None:
@@ -154,11 +158,18 @@
             on_cancelled=self._stop_surplus,
             on_change=self._wake,
         )
+        self._tickets = TicketBook(
+            calls=parts.advice,
+            book=self.book,
+            fleet=self.board.fleet,
+            configuration=parts.configuration,
+            on_change=self._plan_signal.set,
+        )
         self._planner = Planner(
             self.book,
             self.board.fleet,
             self._model,
-            _no_tickets,
+            self._tickets.tickets,
         )
 
     async def run(self) -> None:
@@ -187,6 +198,7 @@
             nursery.start_soon(workers.run)
             nursery.start_soon(self._run_planner)
             nursery.start_soon(self._run_upkeep)
+            nursery.start_soon(self._tickets.run)
 
     async def hand_over(self) -> None:
         """Stop starting runs and store what has changed."""
@@ -205,6 +217,22 @@
             return ShownState.CANCELLED
         return ShownState.RUNNING if job.has_begun else ShownState.QUEUED
 
+    def can_serve(self, request: JobRequest) -> bool:
+        """Whether the workers could run every step of a job at all.
+
+        While none is known, every job counts as servable.
+        """
+        workers = self.board.fleet.of_service(request.service)
+        listed = [
+            worker
+            for worker in workers
+            if worker.listing.state is not WorkerState.GONE
+        ]
+        return not listed or all(
+            any(worker.could_hold(step) for worker in listed)
+            for step in request.steps
+        )
+
     def find_run(self, task: TaskId, number: int) -> Run | None:
         """Return a live run."""
         return self.book.find_run(task, number)
@@ -410,7 +438,3 @@
         how=how.value,
         percent=run.percent,
     )
-
-
-def _no_tickets(_step: object) -> None:
-    """No queue needs a ticket."""
--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -65,10 +65,25 @@
         deadline_s: float,
     ) -> Submission:
         """Store a job; a repeat of a known one is accepted again."""
-        outcome = await self._store(request, deadline_s)
+        if await self._is_servable(request):
+            outcome = await self._store(request, deadline_s)
+        else:
+            _LOG.info('job unservable', job=request.job_id)
+            outcome = Submission.UNSERVABLE
         self.counters.submissions[outcome] += 1
         return outcome
 
+    async def _is_servable(self, request: JobRequest) -> bool:
+        """Ask the owner; a job that it can't be asked about is taken."""
+        cell = self.local()
+        if cell is not None and cell.is_loaded:
+            return cell.can_serve(request)
+        try:
+            return await self.owner.can_serve(request)
+        except Failure as failure:
+            _LOG.debug('owner not asked', error=str(failure))
+            return True
+
     async def _store(
         self,
         request: JobRequest,
--- a/src/marjoramwharf/cells/owner_link.py
+++ b/src/marjoramwharf/cells/owner_link.py
@@ -11,16 +11,18 @@
 
 from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.ownership import KnownOwner, OwnerView
-from marjoramwharf.cells.records import CellId
+from marjoramwharf.cells.records import CellId, decode, encode
 from marjoramwharf.cells.status import ShownState
 from marjoramwharf.errors import NotOwner, PeerUnreachable
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.peer_client import PeerClient
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
 from marjoramwharf.links.thrift_types.peer import ttypes
+from marjoramwharf.scheduling.workload import JobRequest
 
 _STATUS = 'status'
 _WAITING = 'waiting'
+_ADMIT = 'admit'
 _FOUND = 200
 _UNKNOWN = 404
 
@@ -69,7 +71,12 @@
             self._client = None
             nursery.cancel_scope.cancel()
 
-    async def _call(self, method: str, argument: str) -> Message:
+    async def can_serve(self, request: JobRequest) -> bool:
+        """Return whether the workers could run a job at all."""
+        reply = await self._call(_ADMIT, encode(request))
+        return bool(reply.status == _FOUND)
+
+    async def _call(self, method: str, argument: str | bytes) -> Message:
         client = self._client
         if client is None:
             raise PeerUnreachable(message='the cell has no other owner')
@@ -77,7 +84,9 @@
             ttypes.JobCall(
                 method=method,
                 shard=self.cell,
-                body=argument.encode(),
+                body=(
+                    argument.encode() if isinstance(argument, str) else argument
+                ),
             ),
             timeout_s=self.timeout_s,
         )
@@ -104,6 +113,10 @@
     cell = source()
     if cell is None or not cell.is_loaded or cell.mandate.cell != call.shard:
         raise NotOwner(message=f'cell {call.shard} is not owned here')
+    if call.method == _ADMIT:
+        request = decode(call.body, JobRequest, key='peer call')
+        status = _FOUND if cell.can_serve(request) else _UNKNOWN
+        return ttypes.JobReply(status=status, body=b'')
     argument = call.body.decode()
     if call.method == _WAITING:
         count = cell.book.waiting_count(argument)
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -157,7 +157,7 @@
                 break
             run.is_doubtful = True
         self.terms.counters.starts[answer.outcome] += 1
-        if answer.outcome is OrderOutcome.ACCEPTED:
+        if answer.outcome in _HAS_BEGUN:
             self.owner.run_started(run)
         elif answer.outcome is OrderOutcome.FENCED:
             self.owner.superseded()
@@ -447,6 +447,11 @@
         self.owner.run_ended(run, RunEnd.VANISHED, run.saved)
 
 
+# Outcomes of a start that show that the run has begun. A number is used once,
+# so "too old" means that this run has ended there already; its end is listed
+# by the next look.
+_HAS_BEGUN = frozenset((OrderOutcome.ACCEPTED, OrderOutcome.RUN_TOO_OLD))
+
 # Outcomes after which a stopped run can't start at the worker any more.
 _STOP_SETTLED = frozenset(
     (
--- a/src/marjoramwharf/errors.py
+++ b/src/marjoramwharf/errors.py
@@ -35,6 +35,7 @@
     STORE_REFUSED = 'store_refused'
     HISTORY_LOST = 'history_lost'
     LEASE_ENDED = 'lease_ended'
+    ADVICE_UNAVAILABLE = 'advice_unavailable'
     ENTRY_REPLACED = 'entry_replaced'
     DIRECTORY_UNAVAILABLE = 'directory_unavailable'
     BAD_LISTING = 'bad_listing'
@@ -119,6 +120,12 @@
     reason = Reason.LEASE_ENDED
 
 
+class AdviceUnavailable(Failure):
+    """The advice service did not say which workers may run a step."""
+
+    reason = Reason.ADVICE_UNAVAILABLE
+
+
 class StoreBudgetSpent(Failure):
     """The call was shed to stay within the rates of the store."""
 
--- /dev/null
+++ b/src/marjoramwharf/platform/advice_calls.py
@@ -0,0 +1,65 @@
+"""Calls to the platform's advice service; implements ``cells.AdviceCalls``."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from msgspec import DecodeError, Struct, json
+
+from marjoramwharf.cells.advice import Advice
+from marjoramwharf.errors import AdviceUnavailable
+from marjoramwharf.ids import WorkerId
+from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.links.http_client import CallFailed, LeanClient
+
+
+class _Question(Struct, frozen=True, rename='pascal'):
+    """``Step`` is a task's name without its last number."""
+
+    step: str
+    workers: tuple[str, ...]
+
+
+class _Answer(Struct, frozen=True, rename='pascal'):
+    """``Good`` has rows of a worker's id and its ticket."""
+
+    good: tuple[tuple[str, str], ...] = ()
+    valid_ms: int = 0
+
+
+class PlatformAdviceCalls:
+    """Calls over the connections of one client."""
+
+    def __init__(self, client: LeanClient, address: str) -> None:
+        """Use ``host:port`` as the service."""
+        self._client = client
+        self._url = f'http://{address}/advise'
+
+    async def advise(
+        self,
+        step: str,
+        workers: Sequence[WorkerId],
+        *,
+        timeout_s: float,
+    ) -> Advice:
+        """Return the workers that may run a step."""
+        try:
+            answer = await self._client.request(
+                'POST',
+                self._url,
+                headers={'Content-Type': 'application/json'},
+                body=json.encode(_Question(step, tuple(workers))),
+                timeout_s=timeout_s,
+            )
+        except CallFailed as failure:
+            raise AdviceUnavailable(message=str(failure)) from failure
+        if not answer.is_success:
+            raise AdviceUnavailable(message=f'status {answer.status}')
+        try:
+            body = decode_json(answer.body, _Answer)
+        except DecodeError as failure:
+            raise AdviceUnavailable(message=str(failure)) from failure
+        return Advice(
+            {WorkerId(worker): ticket for worker, ticket in body.good},
+            body.valid_ms,
+        )
--- a/src/marjoramwharf/platform/front.py
+++ b/src/marjoramwharf/platform/front.py
@@ -43,6 +43,17 @@
     b'{"Error":"not stored and not run"}',
     (('Retry-After', '1'),),
 )
+_UNSERVABLE = HttpReply(
+    429,
+    b'{"Error":"no worker is large enough"}',
+    (('Retry-After', '60'),),
+)
+_SUBMITTED = {
+    Submission.ACCEPTED: _ACCEPTED,
+    Submission.REFUSED: _NOT_STORED,
+    Submission.UNKNOWN: _UNKNOWN,
+    Submission.UNSERVABLE: _UNSERVABLE,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,9 +127,7 @@
             now_ms=wall_ms(),
         )
         outcome = await self.intake.submit(job, deadline_s=deadline_s)
-        if outcome is Submission.ACCEPTED:
-            return _ACCEPTED
-        return _NOT_STORED if outcome is Submission.REFUSED else _UNKNOWN
+        return _SUBMITTED[outcome]
 
     async def _status(self, job_id: JobId) -> HttpReply:
         state = await self.intake.status(job_id)
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -36,6 +36,7 @@
 from marjoramwharf.log_output import BoundedOutput
 from marjoramwharf.logs import configure_logs, part_logger
 from marjoramwharf.platform import boot
+from marjoramwharf.platform.advice_calls import PlatformAdviceCalls
 from marjoramwharf.platform.front import Front, answer_ready
 from marjoramwharf.platform.kv_store import KvStore
 from marjoramwharf.platform.operator_config import (
@@ -216,6 +217,7 @@
                 bounds=self.place.bounds,
                 hold_ms=round(self.place.bounds.max_hold_ms * _HOLD_SHARE),
                 counters=self.counters,
+                advice=self._advice(),
             ),
         )
         self.cell = cell
@@ -225,6 +227,10 @@
         finally:
             self.cell = None
 
+    def _advice(self) -> PlatformAdviceCalls | None:
+        address = self.place.advice_address
+        return PlatformAdviceCalls(self.client, address) if address else None
+
     async def _follow(self, prefix: str, apply: Apply, wait_ms: int) -> None:
         await Follower(self.store, prefix, apply, wait_ms).run()
 
--- a/standins/run_worker_calls.py
+++ b/standins/run_worker_calls.py
@@ -33,13 +33,17 @@
     """Implements ``WorkerCalls`` on a table of ``RunWorker``.
 
     ``unreachable`` workers answer nothing. The next ``starts_to_lose`` starts
-    are carried out without an answer; the next ``starts_to_delay`` wait in
+    and ``holds_to_lose`` are carried out without an answer; the next
+    ``starts_to_repeat`` starts are carried out twice, as by a client that sends
+    a call again; ``starts_to_delay`` starts wait in
     ``late_orders`` until they are called.
     """
 
     workers: dict[WorkerId, RunWorker]
     unreachable: set[WorkerId] = field(default_factory=set)
     starts_to_lose: int = 0
+    starts_to_repeat: int = 0
+    holds_to_lose: int = 0
     starts_to_delay: int = 0
     late_orders: list[Callable[[], OrderAnswer]] = field(default_factory=list)
 
@@ -58,8 +62,13 @@
             await trio.sleep(timeout_s)
             return OrderAnswer(OrderOutcome.UNKNOWN)
         answer = await self._reach(worker.worker_id, carry_out, timeout_s)
+        if self.starts_to_repeat:
+            self.starts_to_repeat -= 1
+            await trio.sleep(timeout_s)
+            answer = carry_out()
         if self.starts_to_lose:
             self.starts_to_lose -= 1
+            await trio.sleep(timeout_s)
             answer = None
         return answer or OrderAnswer(OrderOutcome.UNKNOWN)
 
@@ -111,6 +120,10 @@
         while True:
             look = partial(self._hold, worker.worker_id, order)
             report = await self._reach(worker.worker_id, look, timeout_s)
+            if report is not None and self.holds_to_lose:
+                self.holds_to_lose -= 1
+                await trio.sleep(timeout_s)
+                report = None
             if report is None:
                 return HoldReport(OrderOutcome.UNKNOWN)
             if report.ended or trio.current_time() >= until_s:
--- a/tests/cells/test_cell.py
+++ b/tests/cells/test_cell.py
@@ -148,6 +148,14 @@
         """Guards against a second start of a run whose answer was lost."""
         run_with_clock(self._start_answer_is_lost)
 
+    def test_run_ended_unseen(self) -> None:
+        """Guards against a second start of a run that ended unseen.
+
+        Its order is sent again by the client, and refused as too old; the
+        answers of the next looks are lost.
+        """
+        run_with_clock(self._run_ended_unseen)
+
     def test_late_start(self) -> None:
         """Guards against a late start that runs beside its replacement."""
         run_with_clock(self._late_start)
@@ -212,6 +220,20 @@
             )
             self.assertEqual([1], list(world.starts().values()))
 
+    async def _run_ended_unseen(self) -> None:
+        async with open_world(('w1',)) as (world, nursery):
+            world.spawn(nursery, 'e1')
+            await world.until(lambda: world.owners[0].cell is not None)
+            await trio.sleep(1)
+            world.calls.starts_to_repeat = 1
+            world.calls.holds_to_lose = 2
+            request = job_request('aa', payload='ms=50')
+            await world.submit(request)
+            await world.until(
+                lambda: world.state(request) is ShownState.DONE,
+            )
+            self.assertEqual([1], list(world.starts().values()))
+
     async def _late_start(self) -> None:
         async with open_world() as (world, nursery):
             world.spawn(nursery, 'e1')
