Rank the workers once for all tasks of a step

Change: a heap of costs for a step, of which only the first is brought up to date; the planner rests twice as long as it takes.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -48,6 +48,9 @@
 
 _PLAN_PERIOD_S = 0.25
 _UPKEEP_PERIOD_S = 0.5
+
+# The planner rests this many times as long as it has taken.
+_REST_FACTOR = 2.0
 _MS_PER_S = 1_000
 
 # A worker on which a run hangs or is slow gets new runs last for this long.
@@ -299,7 +302,11 @@
         while True:
             await self._plan_signal.wait(timeout_s=self._plan_pause_s())
             if not self.is_stopping and self.mandate.is_current():
+                began_s = boot_s()
                 self._plan()
+                # Leaves the processor to orders and looks in a burst.
+                took_s = boot_s() - began_s
+                await trio.sleep(min(_PLAN_PERIOD_S, took_s * _REST_FACTOR))
 
     def _plan_pause_s(self) -> float:
         due_ms = self.book.next_due_ms()
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -74,6 +75,51 @@
     return best
 
 
+class StepChooser:
+    """Chooses workers for equal tasks, one after the other.
+
+    The costs of all workers are computed once; afterwards only that of the
+    worker that got a task, so a wide step costs little more than one task.
+    """
+
+    def __init__(
+        self,
+        task: Task,
+        workers: Sequence[Worker],
+        choice: Choice,
+    ) -> None:
+        """Rank the workers for the tasks of a step, of which one is given."""
+        self._task = task
+        self._workers = workers
+        self._choice = choice
+        self._costs: list[tuple[float, int]] = []
+        for number, worker in enumerate(workers):
+            cost = _allowed_cost(task, worker, choice)
+            if cost < math.inf:
+                self._costs.append((cost, number))
+        heapq.heapify(self._costs)
+
+    def choose(self, task: Task) -> Worker | None:
+        """Return the cheapest worker; it has to be placed before the next."""
+        if task.failed_workers:
+            return choose_worker(task, self._workers, self._choice)
+        self._refresh_first()
+        return self._workers[self._costs[0][1]] if self._costs else None
+
+    def _refresh_first(self) -> None:
+        """Bring the cost of the first worker up to date until it is least."""
+        while self._costs:
+            known, number = self._costs[0]
+            worker = self._workers[number]
+            cost = _allowed_cost(self._task, worker, self._choice)
+            if cost == known:
+                return
+            if cost < math.inf:
+                heapq.heapreplace(self._costs, (cost, number))
+            else:
+                heapq.heappop(self._costs)
+
+
 def may_run(task: Task, worker: Worker, now_s: float) -> bool:
     """Whether the rules let a worker run a task now."""
     request = task.step.request
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -20,6 +20,7 @@
 )
 from marjoramwharf.scheduling.placement import (
     Choice,
+    StepChooser,
     choose_worker,
     choose_workers,
 )
@@ -163,8 +164,10 @@
         if group[0].step.request.needs_one_rack:
             candidates = _rack_first(group[0].step, candidates)
         planned: list[Run] = []
+        fresh = [task for task in group if not task.failed_workers]
+        chooser = StepChooser((fresh or group)[0], candidates, choice)
         for task in group:
-            worker = choose_worker(task, candidates, choice)
+            worker = chooser.choose(task)
             if worker is None:
                 break
             planned.append(self._place(task, worker, choice.now_s))
