--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 export PYTHONPATH = src:.
-SOURCES = src standins tools tests
+SOURCES = src standins tools tests deploy/entry.py
 
-.PHONY: setup format lint types unit test demo measure capacity thrift clean
+.PHONY: setup format lint types unit test demo platform-demo measure capacity thrift clean
 
 setup: $(VENV)/.installed
 
@@ -31,6 +31,9 @@
 demo: setup
 	$(BIN)/python -m tools.demo
 
+platform-demo: setup
+	$(BIN)/python -m tools.platform_demo
+
 measure: setup
 	$(BIN)/python -m tools.measure $(ARGS)
 
--- /dev/null
+++ b/src/marjoramwharf/programs/explain.py
@@ -0,0 +1,178 @@
+"""``marjoramwharf-explain``: the story of one job from the logs of all entries.
+
+    marjoramwharf-explain 5c0e7a21d94b36f8 entry-*.log
+
+Lines that name the job, one of its tasks, or a worker or owner at the time of
+one of its runs are printed in order of time. Lines that can't be read are
+counted, not dropped silently.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+import cappa
+from msgspec import DecodeError
+
+from marjoramwharf.errors import BadSettings
+from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.programs._command_line import run_command
+
+_TIME = 'timestamp'
+_EVENT = 'event'
+_HIDDEN = frozenset((_TIME, _EVENT, 'level'))
+
+# Events that explain a job's delay without naming it.
+_CONTEXT_PREFIXES = ('owner:', 'main:', 'store:')
+_CONTEXT_EVENTS = frozenset(
+    (
+        'cell: cell loaded',
+        'worker: worker lost',
+        'worker: worker reached',
+        'worker: worker restarted',
+        'worker: worker gone',
+        'progress: write failed',
+        'progress: writes succeed again',
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a log, with the name of its file."""
+
+    source: str
+    fields: Mapping[str, Any]
+
+    @property
+    def time(self) -> str:
+        """The time of day, in a form that sorts."""
+        return str(self.fields.get(_TIME, ''))
+
+    @property
+    def event(self) -> str:
+        """What happened."""
+        return str(self.fields.get(_EVENT, ''))
+
+
+@dataclass
+class Story:
+    """The lines of one job."""
+
+    lines: list[LogLine] = field(default_factory=list)
+    unreadable_count: int = 0
+
+
+def find_story(job_id: str, sources: Mapping[str, Iterable[str]]) -> Story:
+    """Return the lines of a job, with what happened around them."""
+    story = Story()
+    found = sorted(
+        _read(sources, story),
+        key=lambda line: (line.time, line.source),
+    )
+    named = [line for line in found if _names(line, job_id)]
+    if not named:
+        return story
+    workers = {
+        str(worker)
+        for line in named
+        for worker in (
+            line.fields.get('worker'),
+            *line.fields.get('workers', ()),
+        )
+    }
+    first, last = named[0].time, named[-1].time
+    story.lines = [
+        line
+        for line in found
+        if _names(line, job_id)
+        or (first <= line.time <= last and _is_context(line, workers))
+    ]
+    return story
+
+
+def describe(line: LogLine) -> str:
+    """Return a line for people."""
+    details = ' '.join(
+        f'{name}={content}'
+        for name, content in line.fields.items()
+        if name not in _HIDDEN
+    )
+    return f'{line.time} {line.source}: {line.event} {details}'
+
+
+def _read(
+    sources: Mapping[str, Iterable[str]],
+    story: Story,
+) -> Iterator[LogLine]:
+    for source, lines in sources.items():
+        for text in lines:
+            start = text.find('{')
+            try:
+                fields = decode_json(text[max(0, start) :], dict[str, Any])
+            except DecodeError:
+                story.unreadable_count += bool(text.strip())
+                continue
+            yield LogLine(source, fields)
+
+
+def _names(line: LogLine, job_id: str) -> bool:
+    job = str(line.fields.get('job', ''))
+    task = str(line.fields.get('task', ''))
+    return job == job_id or task.partition('.')[0] == job_id
+
+
+def _is_context(line: LogLine, workers: set[str]) -> bool:
+    if line.event.startswith(_CONTEXT_PREFIXES):
+        return True
+    if line.event not in _CONTEXT_EVENTS:
+        return False
+    worker = line.fields.get('worker')
+    return worker is None or str(worker) in workers
+
+
+@cappa.command(name='marjoramwharf-explain')
+@dataclass
+class Explain:
+    """Print the story of a job from log files, or from standard input."""
+
+    job_id: Annotated[str, cappa.Arg(help='Id of the job.')]
+    files: Annotated[
+        list[pathlib.Path],
+        cappa.Arg(default=(), help='Log files; none: standard input.'),
+    ]
+
+    def run(self) -> int:
+        """Print the lines; 1 if the job is not named in any."""
+        sources = self._sources()
+        story = find_story(self.job_id, sources)
+        for line in story.lines:
+            sys.stdout.write(f'{describe(line)}\n')
+        if story.unreadable_count:
+            sys.stderr.write(f'{story.unreadable_count} lines not readable\n')
+        return 0 if story.lines else 1
+
+    def _sources(self) -> Mapping[str, Iterable[str]]:
+        if not self.files:
+            return {'stdin': sys.stdin}
+        try:
+            return {
+                path.name: path.read_text(errors='replace').splitlines()
+                for path in self.files
+            }
+        except OSError as failure:
+            raise BadSettings(message=str(failure)) from failure
+
+
+def main() -> int:
+    """Run the command line."""
+    command = cappa.parse(Explain)
+    return run_command(command.run)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -306,7 +306,14 @@
 
 
 def main() -> None:
-    """Run the daemon with the platform's settings file."""
+    """Run the daemon with the platform's settings file.
+
+    With ``--check FILE`` the settings are only read and checked.
+    """
+    if len(sys.argv) > 1:
+        from marjoramwharf.programs._check_settings import check_settings
+
+        sys.exit(check_settings())
     output = BoundedOutput(sys.stdout.fileno())
     configure_logs(as_json=True, output=output)
     try:
--- /dev/null
+++ b/tests/programs/test_explain.py
@@ -0,0 +1,57 @@
+"""The story of a job from the logs of several entries."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from marjoramwharf.programs.explain import describe, find_story
+
+_JOB = '5c0e7a21d94b36f8'
+
+
+def _line(second: int, event: str, **fields: object) -> str:
+    clock = str(second).zfill(2)
+    body = {'timestamp': f'2026-01-01T00:00:{clock}Z', 'event': event}
+    return json.dumps({**body, **fields})
+
+
+class ExplainTests(unittest.TestCase):
+    """Guards against a story that doesn't name the cause."""
+
+    def test_job_delayed_by_a_worker(self) -> None:
+        """Guards against lines of other jobs, and causes that are left out."""
+        first = [
+            _line(1, 'intake: job accepted', job=_JOB),
+            _line(1, 'intake: job accepted', job='other'),
+            'not json',
+            _line(9, 'cell: job finished', job=_JOB, phase='failed'),
+        ]
+        second = [
+            _line(2, 'cell: runs planned', job=_JOB, workers=['w1']),
+            _line(3, 'worker: worker lost', worker='w1'),
+            _line(3, 'worker: worker lost', worker='w2'),
+            _line(4, 'owner: ownership taken', fence=7),
+            _line(5, 'cell: run ended', task=f'{_JOB}.0.0.1', how='vanished'),
+            _line(20, 'worker: worker reached', worker='w1'),
+        ]
+        story = find_story(_JOB, {'e1': first, 'e2': second})
+        events = [line.event for line in story.lines]
+        self.assertEqual(
+            [
+                'intake: job accepted',
+                'cell: runs planned',
+                'worker: worker lost',
+                'owner: ownership taken',
+                'cell: run ended',
+                'cell: job finished',
+            ],
+            events,
+        )
+        self.assertEqual(1, story.unreadable_count)
+        self.assertIn('worker=w1', describe(story.lines[2]))
+
+    def test_unknown_job(self) -> None:
+        """Guards against a story about nothing."""
+        story = find_story('none', {'e1': [_line(1, 'main: started')]})
+        self.assertFalse(story.lines)
--- /dev/null
+++ b/tests/programs/test_platform_path.py
@@ -0,0 +1,20 @@
+"""The whole path as real processes against the stand-in platform."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from tools.platform_demo import run_demo
+
+
+class PlatformPathTests(unittest.TestCase):
+    """Guards against jobs lost or doubled when the owner is killed."""
+
+    def test_owner_is_killed(self) -> None:
+        """Guards against a path of which only the parts work."""
+        report = trio.run(run_demo)
+        self.assertEqual(40, len(report.accepted))
+        self.assertEqual({'completed': 40}, dict(report.states))
+        self.assertFalse(report.doubled_tasks)
