--- a/standins/run_worker.py
+++ b/standins/run_worker.py
@@ -44,7 +44,9 @@
 class RunWorker:
     """One incarnation of a worker.
 
-    ``starts`` keeps every start that was carried out, for checks.
+    ``starts`` keeps every start that was carried out, ``start_times`` when,
+    and ``noted_done`` the tasks whose end as done was noted, with the time of
+    that end; all are for checks.
     ``capacity`` is the number of runs that it takes at a time.
     """
 
@@ -55,9 +57,13 @@
     lease_end_ms: float = 0
     running: dict[TaskId, _Run] = field(default_factory=dict)
     starts: list[tuple[TaskId, int, int]] = field(default_factory=list)
+    start_times: list[tuple[TaskId, float]] = field(default_factory=list)
+    noted_done: list[tuple[TaskId, float]] = field(default_factory=list)
     _ended: list[EndReport] = field(default_factory=list)
     _floor: dict[TaskId, int] = field(default_factory=dict)
     _next_end: int = 1
+    _end_times: dict[int, float] = field(default_factory=dict)
+    _now_s: float = 0
 
     def clock_ms(self, now_s: float) -> int:
         """Return what the worker's own clock reads."""
@@ -65,6 +71,7 @@
 
     def advance(self, now_s: float) -> None:
         """End what is over by now."""
+        self._now_s = now_s
         if self.running and self.clock_ms(now_s) > self.lease_end_ms:
             for run in tuple(self.running.values()):
                 self._end(run, RunEnd.LAPSED)
@@ -98,6 +105,7 @@
             float(found.group(1)) if found else _DEFAULT_MS,
         )
         self.starts.append((order.task, order.run, order.fence))
+        self.start_times.append((order.task, now_s))
         return OrderAnswer(OrderOutcome.ACCEPTED, clock_ms)
 
     def stop(self, order: StopOrder, now_s: float) -> OrderAnswer:
@@ -130,9 +138,7 @@
             return HoldReport(OrderOutcome.FENCED, clock_ms)
         if order.expires_ms is not None:
             self._extend(order.expires_ms, clock_ms)
-        self._ended = [
-            ended for ended in self._ended if ended.number > order.noted_end
-        ]
+        self._forget(order.noted_end)
         return HoldReport(
             outcome=OrderOutcome.ACCEPTED,
             clock_ms=clock_ms,
@@ -155,6 +161,15 @@
         """Whether ends wait to be noted."""
         return bool(self._ended)
 
+    def _forget(self, noted_end: int) -> None:
+        for ended in self._ended:
+            if ended.number <= noted_end and ended.how is RunEnd.DONE:
+                ended_s = self._end_times[ended.number]
+                self.noted_done.append((ended.task, ended_s))
+        self._ended = [
+            ended for ended in self._ended if ended.number > noted_end
+        ]
+
     def _admit(self, fence: int) -> bool:
         if fence < self.fence:
             return False
@@ -177,6 +192,7 @@
         self._ended.append(
             EndReport(self._next_end, run.task, run.number, how, ''),
         )
+        self._end_times[self._next_end] = self._now_s
         self._next_end += 1
 
     def _raise_floor(self, task: TaskId, number: int) -> None:
--- a/tests/cells/world.py
+++ b/tests/cells/world.py
@@ -89,12 +89,16 @@
 
 @dataclass
 class World:
-    """Store, workers and the entries that compete for the cell."""
+    """Store, workers and the entries that compete for the cell.
+
+    ``retired`` are former incarnations of workers.
+    """
 
     store: PollingMemoryStore = field(default_factory=PollingMemoryStore)
     workers: dict[WorkerId, RunWorker] = field(default_factory=dict)
     listings: dict[WorkerId, WorkerListing] = field(default_factory=dict)
     owners: list[Owner] = field(default_factory=list)
+    retired: list[RunWorker] = field(default_factory=list)
     configuration: Configuration = Configuration(
         1,
         {
