--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -247,15 +247,19 @@
     async def _keep(self, tenure: Tenure) -> None:
         """Renew the lease; ends the tenure when it has lapsed."""
         pause_s = self.ttl_ms / _MS_PER_S / _RENEWALS_PER_TTL
+        is_failing = False
         while True:
             await trio.sleep(pause_s)
             sent_s = boot_s()
             try:
                 exists = await self.store.keep_alive(tenure.lease)
             except Failure as failure:
-                _LOG.info('lease not renewed', error=str(failure))
+                if not is_failing:
+                    _LOG.warning('lease not renewed', error=str(failure))
+                is_failing = True
                 pause_s = _RENEWAL_PAUSE_S
                 continue
+            is_failing = False
             pause_s = self.ttl_ms / _MS_PER_S / _RENEWALS_PER_TTL
             if not exists:
                 _LOG.warning('lease lapsed', cell=self.cell)
