Split the links and the cell, and give store calls up earlier

Change: worker_orders, link_parts, run_mover and decision_log are modules of their own; a store call is given up after 0.6 s.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -14,17 +14,19 @@
 from marjoramwharf.cells.advice import AdviceCalls, TicketBook
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.cells.decision_log import log_end, log_finished, log_plan
 from marjoramwharf.cells.forgetting import forget_finished
 from marjoramwharf.cells.inbox import Inbox
+from marjoramwharf.cells.link_parts import LinkTerms
 from marjoramwharf.cells.place import Bounds
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.records import CellId, inbox_prefix
+from marjoramwharf.cells.run_mover import RunMover
 from marjoramwharf.cells.signals import Signal
 from marjoramwharf.cells.status import ShownState
 from marjoramwharf.cells.worker_board import ListingDecoder, WorkerBoard
-from marjoramwharf.cells.worker_link import LinkTerms, WorkerLink
 from marjoramwharf.cells.worker_messages import WorkerCalls
-from marjoramwharf.ids import JobId, TaskId
+from marjoramwharf.ids import JobId, TaskId, WorkerId
 from marjoramwharf.links.follower import Follower
 from marjoramwharf.links.store import Guard, PollingStore
 from marjoramwharf.logs import part_logger
@@ -37,11 +39,10 @@
     RunEnd,
     RunPhase,
 )
-from marjoramwharf.scheduling.fleet import Worker, WorkerState
+from marjoramwharf.scheduling.fleet import WorkerState
 from marjoramwharf.scheduling.ordering import queue_of
-from marjoramwharf.scheduling.planner import Planner, StepPlan
+from marjoramwharf.scheduling.planner import Planner
 from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
-from marjoramwharf.scheduling.rescue import Rescue, Trouble, find_rescues
 from marjoramwharf.scheduling.workload import JobRequest
 
 _LOG = part_logger('cell')
@@ -53,18 +54,12 @@
 _REST_FACTOR = 2.0
 _MS_PER_S = 1_000
 
-# A worker on which a run hangs or is slow gets new runs last for this long.
-_SUSPECT_S = 5.0
-
 # A former owner may extend leases until this much after its own has lapsed.
 FORMER_OWNER_SLACK_S = 1.5
 
 # A worker's clock may run slow, so a lease may last this many times longer.
 _SLOW_CLOCK_FACTOR = 1.03
 
-# JSON has no infinity.
-_LARGEST_LOGGED = 1_000_000
-
 _SHOWN_FINAL = {
     JobPhase.DONE: ShownState.DONE,
     JobPhase.FAILED: ShownState.FAILED,
@@ -124,6 +119,7 @@
     _writer: ProgressWriter = field(init=False)
     _planner: Planner = field(init=False)
     _tickets: TicketBook = field(init=False)
+    _mover: RunMover = field(init=False)
     _inbox: Inbox = field(init=False)
 
     def __post_init__(self) -> None:
@@ -174,6 +170,13 @@
             self._model,
             self._tickets.tickets,
         )
+        self._mover = RunMover(
+            board=self.board,
+            planner=self._planner,
+            queue_of=self._queue_of,
+            counters=parts.counters,
+            on_planned=self._writer.wake,
+        )
 
     async def run(self) -> None:
         """Own the cell until cancelled; raises ``NotOwner`` once superseded."""
@@ -266,7 +269,7 @@
         self.parts.counters.ends[how] += 1
         self.board.release(run, how, now_s=now_s)
         if how not in {RunEnd.DONE, RunEnd.STOPPED}:
-            _log_end(run, how)
+            log_end(run, how)
         self.book.end(
             run,
             how,
@@ -282,16 +285,11 @@
 
     def _note_finished(self, job: Job, now_s: float) -> None:
         self.parts.counters.finished_jobs[job.phase] += 1
-        _LOG.info(
-            'job finished',
-            job=job.job_id,
-            phase=job.phase.name.lower(),
-            known_s=round(now_s - job.learned_s, 3),
-        )
+        log_finished(job, now_s)
 
-    def looked(self, link: WorkerLink) -> None:
+    def looked(self, worker_id: WorkerId) -> None:
         """Take in a look at a worker."""
-        self.board.pace(link)
+        self.board.pace(worker_id)
         self._plan_signal.set()
 
     def _wake(self) -> None:
@@ -328,7 +326,7 @@
             now_ms=now_ms,
         )
         for plan in planned:
-            _log_plan(plan, configuration.version)
+            log_plan(plan, configuration.version)
         if planned:
             self._writer.wake()
 
@@ -360,7 +358,8 @@
         while True:
             await trio.sleep(_UPKEEP_PERIOD_S)
             self._end_unreached()
-            self._rescue()
+            if not self.is_stopping and self.mandate.is_current():
+                self._mover.move_all(now_s=boot_s())
             for job in tuple(self.book.jobs.values()):
                 if job.occurrences:
                     self._stop_surplus(job)
@@ -374,40 +373,6 @@
                 kept_ms=self.parts.bounds.status_ms,
             )
 
-    def _rescue(self) -> None:
-        """Move runs off workers that leave, hang or are slow."""
-        if self.is_stopping or not self.mandate.is_current():
-            return
-        now_s = boot_s()
-        for worker in self.board.fleet.workers.values():
-            for rescue in tuple(find_rescues(worker, now_s=now_s)):
-                self._move(rescue, worker, now_s)
-
-    def _move(self, rescue: Rescue, worker: Worker, now_s: float) -> None:
-        run = rescue.run
-        queue = self._queue_of(run)
-        if rescue.trouble is not Trouble.LEAVING:
-            worker.suspect_until_s = now_s + _SUSPECT_S
-            run.task.failed_workers.add(worker.worker_id)
-        is_alone = len(run.task.runs) == 1
-        if not self._planner.has_place(run.task, queue.service, now_s=now_s):
-            return
-        _LOG.info(
-            'run moved',
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker_id,
-            trouble=rescue.trouble.value,
-            percent=run.percent,
-        )
-        self.parts.counters.moved_runs_count += 1
-        if run.step.may_duplicate and not run.step.is_lasting:
-            if is_alone:
-                self._planner.duplicate(run.task, queue.service, now_s=now_s)
-                self._writer.wake()
-        else:
-            self.board.stop(run)
-
     def _end_unreached(self) -> None:
         """End runs of a former owner at workers that were never reached."""
         longest_s = self.parts.hold_ms / _MS_PER_S
@@ -418,30 +383,3 @@
             is_unread = self.board.is_unread(run.worker_id)
             if is_unread and run.phase is not RunPhase.PLANNED:
                 self.run_ended(run, RunEnd.VANISHED, '')
-
-
-def _log_plan(plan: StepPlan, config_version: int) -> None:
-    step = plan.runs[0].task.step
-    _LOG.info(
-        'runs planned',
-        job=step.occurrence.job.job_id,
-        occurrence=step.occurrence.number,
-        step=step.number,
-        count=len(plan.runs),
-        workers=sorted({run.worker_id for run in plan.runs}),
-        tier=plan.rank.tier.name.lower(),
-        slack_ms=round(plan.rank.slack_ms),
-        allowed_harm=round(min(plan.allowed_harm, _LARGEST_LOGGED), 1),
-        config=config_version,
-    )
-
-
-def _log_end(run: Run, how: RunEnd) -> None:
-    _LOG.info(
-        'run ended',
-        task=run.task.name,
-        run=run.number,
-        worker=run.worker_id,
-        how=how.value,
-        percent=run.percent,
-    )
--- /dev/null
+++ b/src/marjoramwharf/cells/decision_log.py
@@ -0,0 +1,51 @@
+"""Log lines of what a cell's owner has decided and learned."""
+
+from __future__ import annotations
+
+from marjoramwharf.logs import part_logger
+from marjoramwharf.scheduling.job_state import Job, Run, RunEnd
+from marjoramwharf.scheduling.planner import StepPlan
+
+_LOG = part_logger('cell')
+
+# JSON has no infinity.
+_LARGEST_LOGGED = 1_000_000
+
+
+def log_finished(job: Job, now_s: float) -> None:
+    """Log that a job is done, failed or cancelled."""
+    _LOG.info(
+        'job finished',
+        job=job.job_id,
+        phase=job.phase.name.lower(),
+        known_s=round(now_s - job.learned_s, 3),
+    )
+
+
+def log_plan(plan: StepPlan, config_version: int) -> None:
+    """Log the runs of a step that start now, and what decided it."""
+    step = plan.runs[0].task.step
+    _LOG.info(
+        'runs planned',
+        job=step.occurrence.job.job_id,
+        occurrence=step.occurrence.number,
+        step=step.number,
+        count=len(plan.runs),
+        workers=sorted({run.worker_id for run in plan.runs}),
+        tier=plan.rank.tier.name.lower(),
+        slack_ms=round(plan.rank.slack_ms),
+        allowed_harm=round(min(plan.allowed_harm, _LARGEST_LOGGED), 1),
+        config=config_version,
+    )
+
+
+def log_end(run: Run, how: RunEnd) -> None:
+    """Log the end of a run."""
+    _LOG.info(
+        'run ended',
+        task=run.task.name,
+        run=run.number,
+        worker=run.worker_id,
+        how=how.value,
+        percent=run.percent,
+    )
--- a/src/marjoramwharf/cells/worker_board.py
+++ b/src/marjoramwharf/cells/worker_board.py
@@ -8,7 +8,8 @@
 import trio
 
 from marjoramwharf.cells.clocks import boot_s
-from marjoramwharf.cells.worker_link import LinkOwner, LinkTerms, WorkerLink
+from marjoramwharf.cells.link_parts import LinkOwner, LinkTerms
+from marjoramwharf.cells.worker_link import WorkerLink
 from marjoramwharf.errors import Failure
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.links.store import StoreEvent, WatchBatch
@@ -81,14 +82,14 @@
         link = self.links.get(run.worker_id)
         if link is None or self._nursery is None:
             return False
-        self._nursery.start_soon(link.start, run)
+        self._nursery.start_soon(link.orders.start, run)
         return True
 
     def stop(self, run: Run) -> None:
         """Stop a run, if its worker is known."""
         link = self.links.get(run.worker_id)
         if link is not None and self._nursery is not None:
-            self._nursery.start_soon(link.stop, run)
+            self._nursery.start_soon(link.orders.stop, run)
 
     def note_stored(self) -> None:
         """Let workers forget the ends that are stored by now."""
@@ -108,10 +109,11 @@
                 now_s=now_s,
             )
 
-    def pace(self, link: WorkerLink) -> None:
+    def pace(self, worker_id: WorkerId) -> None:
         """Learn from a look at a worker, and pace what fills there."""
-        keeper = self._keepers.get(link.worker.worker_id)
-        if keeper is None or self._nursery is None:
+        keeper = self._keepers.get(worker_id)
+        link = self.links.get(worker_id)
+        if keeper is None or link is None or self._nursery is None:
             return
         now_s = boot_s()
         keeper.learn(now_s=now_s)
@@ -125,7 +127,7 @@
             )
             run.pace_percent = percent
             run.paced_until_s = now_s
-            self._nursery.start_soon(link.pace, run, percent)
+            self._nursery.start_soon(link.orders.pace, run, percent)
         link.is_urgent = keeper.needs_look()
 
     def is_unread(self, worker_id: WorkerId) -> bool:
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -2,37 +2,31 @@
 
 One task holds the worker: it extends the leases of all runs there, reads what
 runs and what ended, and notes the ends that are stored. Orders to start, stop
-or pace a run are sent by tasks of their own until their outcome is known.
+or pace a run are in ``worker_orders``.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import trio
 
 from marjoramwharf.cells.clocks import boot_s
-from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.cells.link_parts import LinkOwner, LinkTerms
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_messages import (
     EndReport,
     HoldOrder,
     HoldReport,
-    OrderAnswer,
     OrderOutcome,
-    PaceOrder,
     RunReport,
-    StartOrder,
     StopOrder,
-    WorkerAddress,
-    WorkerCalls,
 )
+from marjoramwharf.cells.worker_orders import WorkerOrders
 from marjoramwharf.ids import TaskId
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import Worker
-from marjoramwharf.scheduling.job_book import job_of
 from marjoramwharf.scheduling.job_state import Job, Run, RunEnd, RunPhase
 
 _LOG = part_logger('worker')
@@ -51,52 +45,12 @@
 # An end that is not stored by then is returned by the worker again.
 _NOTE_WAIT_S = 0.4
 
-_ORDER_TIMEOUT_S = 0.5
-_ORDER_PAUSE_S = 0.1
-_START_ATTEMPTS = 4
-_UNHEALTHY_PAUSE_S = 0.5
-_FULL_PAUSE_S = 0.1
+_STOP_TIMEOUT_S = 0.5
 
 # An order without an answer may be carried out until this much later.
 _LATE_ORDER_S = 13.0
 
 
-class LinkOwner(Protocol):
-    """What a link tells the owner of its cell."""
-
-    def run_started(self, run: Run) -> None:
-        """A worker has begun a run."""
-
-    def run_ended(self, run: Run, how: RunEnd, saved: str) -> Job:
-        """A run has ended; returns the job whose progress tells of it."""
-
-    def find_run(self, task: TaskId, number: int) -> Run | None:
-        """Return a live run."""
-
-    def superseded(self) -> None:
-        """A worker has seen the fence of another owner."""
-
-    def looked(self, link: WorkerLink) -> None:
-        """A look at the worker was taken in."""
-
-    def may_hold(self) -> bool:
-        """Whether this entry may still extend leases."""
-
-
-@dataclass(frozen=True, slots=True)
-class LinkTerms:
-    """What all links of a cell share.
-
-    ``hold_ms`` is the length of a lease, and ``stop_ms`` bounds a stop.
-    """
-
-    calls: WorkerCalls
-    fence: int
-    hold_ms: int
-    stop_ms: int
-    counters: CellCounters = field(default_factory=CellCounters)
-
-
 @dataclass(slots=True, eq=False)
 class WorkerLink:
     """Holds one worker for the owner of its cell.
@@ -110,6 +64,7 @@
     owner: LinkOwner
     terms: LinkTerms
     clock: WorkerClock = field(default_factory=WorkerClock)
+    orders: WorkerOrders = field(init=False)
     noted_end: int = 0
     taken_end: int = 0
     looks_count: int = 0
@@ -121,11 +76,14 @@
     _noted: trio.Event = field(default_factory=trio.Event)
     _strays: dict[tuple[TaskId, int], float] = field(default_factory=dict)
 
-    @property
-    def address(self) -> WorkerAddress:
-        """Where the worker listens."""
-        listing = self.worker.listing
-        return WorkerAddress(listing.worker_id, listing.host, listing.port)
+    def __post_init__(self) -> None:
+        """Share the clock with the orders."""
+        self.orders = WorkerOrders(
+            self.worker,
+            self.owner,
+            self.terms,
+            self.clock,
+        )
 
     async def run(self) -> None:
         """Hold the worker until cancelled."""
@@ -144,102 +102,6 @@
             self._unnoted.popleft()
         self._noted.set()
 
-    async def start(self, run: Run) -> None:
-        """Order a run until its outcome is known."""
-        if run.phase is not RunPhase.PLANNED:
-            return
-        run.phase = RunPhase.ORDERED
-        for _ in range(_START_ATTEMPTS):
-            answer = await self._send_start(run)
-            if run.phase is not RunPhase.ORDERED:
-                return
-            if answer.outcome is not OrderOutcome.UNKNOWN:
-                break
-            run.is_doubtful = True
-        self.terms.counters.starts[answer.outcome] += 1
-        if answer.outcome in _HAS_BEGUN:
-            self.owner.run_started(run)
-        elif answer.outcome is OrderOutcome.FENCED:
-            self.owner.superseded()
-        else:
-            await self._refused(run, answer.outcome)
-
-    async def stop(self, run: Run) -> None:
-        """Stop a run; the worker then refuses it for good."""
-        if run.phase is RunPhase.PLANNED:
-            self.owner.run_ended(run, RunEnd.VANISHED, '')
-            return
-        if run.phase in {RunPhase.STOPPING, RunPhase.ENDED}:
-            return
-        run.phase = RunPhase.STOPPING
-        order = StopOrder(run.task.name, run.number, self.terms.fence)
-        while self.owner.find_run(run.task.name, run.number) is run:
-            answer = await self.terms.calls.stop(
-                self.address,
-                order,
-                timeout_s=_ORDER_TIMEOUT_S,
-            )
-            self._read_clock(answer)
-            if answer.outcome is OrderOutcome.FENCED:
-                self.owner.superseded()
-                return
-            if answer.outcome in _STOP_SETTLED:
-                run.stop_answered_s = boot_s()
-                return
-            await trio.sleep(_ORDER_PAUSE_S)
-
-    async def pace(self, run: Run, percent: int) -> None:
-        """Let a run work at a share of its speed; one attempt."""
-        self.terms.counters.pace_orders_count += 1
-        order = PaceOrder(run.task.name, run.number, percent, self.terms.fence)
-        answer = await self.terms.calls.pace(
-            self.address,
-            order,
-            timeout_s=_ORDER_TIMEOUT_S,
-        )
-        if answer.outcome is not OrderOutcome.ACCEPTED:
-            # The next look decides anew, from the pace that is not in force.
-            run.pace_percent = 100
-
-    async def _send_start(self, run: Run) -> OrderAnswer:
-        now_s = boot_s()
-        expires_ms = self.clock.grant(self.terms.hold_ms, now_s=now_s)
-        if expires_ms is None:
-            return OrderAnswer(OrderOutcome.NOT_SENT)
-        answer = await self.terms.calls.start(
-            self.address,
-            StartOrder(
-                task=run.task.name,
-                run=run.number,
-                payload=job_of(run.task).request.payload,
-                expires_ms=expires_ms,
-                fence=self.terms.fence,
-                checkpoint=run.task.checkpoint,
-                ticket=run.ticket,
-            ),
-            timeout_s=_ORDER_TIMEOUT_S,
-        )
-        self._read_clock(answer)
-        return answer
-
-    async def _refused(self, run: Run, outcome: OrderOutcome) -> None:
-        _LOG.info(
-            'start refused',
-            task=run.task.name,
-            run=run.number,
-            worker=self.worker.worker_id,
-            outcome=outcome.value,
-        )
-        now_s = boot_s()
-        if outcome is OrderOutcome.NO_ROOM:
-            self.worker.not_before_s = now_s + _FULL_PAUSE_S
-        else:
-            self.worker.not_before_s = now_s + _UNHEALTHY_PAUSE_S
-        if run.is_doubtful:
-            await self.stop(run)
-        else:
-            self.owner.run_ended(run, RunEnd.VANISHED, '')
-
     async def _hold_once(self, nursery: trio.Nursery) -> None:
         if not self.owner.may_hold():
             await trio.sleep(_UNREACHABLE_PAUSE_S)
@@ -247,7 +109,7 @@
         sent_s = boot_s()
         wait_ms = self._wait_ms()
         report = await self.terms.calls.hold(
-            self.address,
+            self.orders.address,
             HoldOrder(
                 fence=self.terms.fence,
                 noted_end=self.noted_end,
@@ -259,7 +121,7 @@
         self.looks_count += 1
         if report.outcome is OrderOutcome.ACCEPTED:
             self._take_in(report, sent_s, nursery)
-            self.owner.looked(self)
+            self.owner.looked(self.worker.worker_id)
             await self._wait_for_notes()
         elif report.outcome is OrderOutcome.FENCED:
             self.owner.superseded()
@@ -310,10 +172,6 @@
         for run in tuple(self.worker.runs):
             self.owner.run_ended(run, RunEnd.VANISHED, run.saved)
 
-    def _read_clock(self, answer: OrderAnswer) -> None:
-        if answer.clock_ms is not None and self.clock.reading_ms is not None:
-            self.clock.note(answer.clock_ms, now_s=boot_s())
-
     def _take_in(
         self,
         report: HoldReport,
@@ -374,7 +232,7 @@
         if run.is_doubtful and now_s - run.placed_s < _LATE_ORDER_S:
             run.phase = RunPhase.ORDERED
             run.stop_answered_s = None
-            nursery.start_soon(self.stop, run)
+            nursery.start_soon(self.orders.stop, run)
         else:
             self.owner.run_ended(run, RunEnd.VANISHED, '')
 
@@ -433,9 +291,9 @@
 
     async def _send_stray_stop(self, row: RunReport) -> None:
         await self.terms.calls.stop(
-            self.address,
+            self.orders.address,
             StopOrder(row.task, row.run, self.terms.fence),
-            timeout_s=_ORDER_TIMEOUT_S,
+            timeout_s=_STOP_TIMEOUT_S,
         )
 
     def _take_absence(self, run: Run, sent_s: float) -> None:
@@ -447,22 +305,6 @@
         self.owner.run_ended(run, RunEnd.VANISHED, run.saved)
 
 
-# Outcomes of a start that show that the run has begun. A number is used once,
-# so "too old" means that this run has ended there already; its end is listed
-# by the next look.
-_HAS_BEGUN = frozenset((OrderOutcome.ACCEPTED, OrderOutcome.RUN_TOO_OLD))
-
-# Outcomes after which a stopped run can't start at the worker any more.
-_STOP_SETTLED = frozenset(
-    (
-        OrderOutcome.ACCEPTED,
-        OrderOutcome.RUN_TOO_OLD,
-        OrderOutcome.OTHER_WORKER,
-        OrderOutcome.BAD_ORDER,
-    ),
-)
-
-
 def _is_over(run: Run, sent_s: float, stop_ms: int) -> bool:
     if run.phase is RunPhase.UNCERTAIN:
         return True
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -58,8 +58,9 @@
 _CONFIG_PREFIX = 'op/'
 _MS_PER_S = 1_000
 
-# Longer than the store takes when it is fifty times slower than usual.
-_STORE_TIMEOUT_S = 1.2
+# Longer than the store takes when it is a hundred times slower than usual; a
+# lost answer delays a start or a submission by this much.
+_STORE_TIMEOUT_S = 0.6
 _RENEWAL_TIMEOUT_S = 0.7
 _OWNER_TIMEOUT_S = 0.3
 
