Skip waiting steps that ask for no less than a refused one

Change: a step that asks for no less than one refused in the same pass is skipped; the planner rests as long as it takes. Ruled out: a rest of twice the time. The random histories found a fault of the stand-in only (a late write with an ended lease).

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -50,8 +50,8 @@
 _PLAN_PERIOD_S = 0.25
 _UPKEEP_PERIOD_S = 0.5
 
-# The planner rests this many times as long as it has taken.
-_REST_FACTOR = 2.0
+# The planner rests as long as it has taken.
+_REST_FACTOR = 1.0
 _MS_PER_S = 1_000
 
 # A former owner may extend leases until this much after its own has lapsed.
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -25,6 +25,7 @@
     choose_workers,
 )
 from marjoramwharf.scheduling.policy import QueuePolicy
+from marjoramwharf.scheduling.refusals import Refusals
 
 # Serving tasks that a step may spoil: few while it has time to wait, and one
 # more for each ``_HARM_STEP_MS`` below ``_PATIENT_SLACK_MS`` of slack.
@@ -89,19 +90,37 @@
             for number, group in enumerate(groups)
         )
         planned: list[StepPlan] = []
+        refusals = Refusals()
         for rank, number in ranked:
             group = groups[number]
-            queue = queue_of(group[0], queues)
-            choice = Choice(
-                self.model,
-                now_s,
-                allowed_harm=self._allowed_harm(group[0], rank, now_s),
-            )
-            runs = self._place_group(group, queue.service, choice)
-            if runs:
-                planned.append(StepPlan(runs, rank, choice.allowed_harm))
+            service = queue_of(group[0], queues).service
+            plan = self._plan_group(group, service, rank, refusals, now_s)
+            if plan is not None:
+                planned.append(plan)
         return planned
 
+    def _plan_group(
+        self,
+        group: Sequence[Task],
+        service: str,
+        rank: Rank,
+        refusals: Refusals,
+        now_s: float,
+    ) -> StepPlan | None:
+        """Place the ready tasks of one step, as far as there is room."""
+        step = group[0].step.request
+        allowed_harm = self._allowed_harm(group[0], rank, now_s)
+        if refusals.covers(service, step, allowed_harm):
+            return None
+        choice = Choice(self.model, now_s, allowed_harm=allowed_harm)
+        runs = self._place_group(group, service, choice)
+        # Steps with a rack, a gang or tickets of their own have fewer workers.
+        is_general = not (step.is_gang or step.needs_one_rack)
+        if len(runs) < len(group) and is_general:
+            if self.tickets(group[0].step) is None:
+                refusals.note(service, step, allowed_harm)
+        return StepPlan(runs, rank, allowed_harm) if runs else None
+
     def has_place(self, task: Task, service: str, *, now_s: float) -> bool:
         """Whether another worker could take a task now."""
         return self._other_worker(task, service, now_s) is not None
--- a/tests/cells/test_histories.py
+++ b/tests/cells/test_histories.py
@@ -8,6 +8,7 @@
 
 import unittest
 from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
 
 import trio
@@ -15,6 +16,7 @@
 from hypothesis import strategies as st
 
 from marjoramwharf.cells.status import ShownState
+from marjoramwharf.errors import LeaseEnded
 from marjoramwharf.ids import WorkerId
 from standins.run_worker import RunWorker
 from tests.cells.world import (
@@ -72,7 +74,9 @@
 
 def _late_commits(world: World, _pick: int) -> None:
     for commit in world.store.late_commits:
-        commit()
+        # A late write whose lease has ended changes nothing.
+        with suppress(LeaseEnded):
+            commit()
     world.store.late_commits.clear()
 
 
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -6,7 +6,13 @@
 import unittest
 from collections import Counter
 
-from marjoramwharf.scheduling.fleet import Fleet, Room, WorkerState
+from marjoramwharf.scheduling.fleet import (
+    Fleet,
+    Room,
+    Worker,
+    WorkerListing,
+    WorkerState,
+)
 from marjoramwharf.scheduling.interference import InterferenceModel, Pressure
 from marjoramwharf.scheduling.job_book import JobBook
 from marjoramwharf.scheduling.job_state import Run
@@ -41,6 +47,20 @@
     return [run for plan in plans for run in plan.runs]
 
 
+class _CountedWorker(Worker):
+    """Counts how often it is considered."""
+
+    def __init__(self, listing: WorkerListing) -> None:
+        """Start without a look."""
+        super().__init__(listing, is_reachable=True)
+        self.looks_count = 0
+
+    def is_usable(self, now_s: float) -> bool:
+        """Whether new runs may be placed here."""
+        self.looks_count += 1
+        return super().is_usable(now_s)
+
+
 class RuleTests(unittest.TestCase):
     """Guards against a start on a worker that must not run a task."""
 
@@ -159,6 +179,27 @@
         planned = _plan(book, fleet, now_s=2.9)
         self.assertEqual(['fresh.0.0.0'], [run.task.name for run in planned])
 
+    def test_waiting_steps_cost_little(self) -> None:
+        """Guards against a burst that compares each step with each worker.
+
+        Sixty steps wait for a full fleet; the workers may be looked at for
+        a few of them only, and a smaller step still gets what is left.
+        """
+        book = JobBook()
+        workers = [
+            _CountedWorker(make_worker(name).listing) for name in 'abcdefghij'
+        ]
+        fleet = make_fleet(*workers)
+        add_job(book, 'first', make_step(50, cpu_millicores=6_000))
+        for number in range(60):
+            wide = make_step(5, cpu_millicores=6_000, estimate_ms=9_000)
+            add_job(book, f'wide{number}', wide)
+        add_job(book, 'small', make_step(5, estimate_ms=9_000))
+        names = {run.task.name for run in _plan(book, fleet)}
+        self.assertIn('small.0.0.0', names)
+        looks_count = sum(worker.looks_count for worker in workers)
+        self.assertLess(looks_count, 400)
+
     def test_tiers(self) -> None:
         """Guards against a job that counts as useless too early."""
         book = JobBook()
