--- a/src/marjoramwharf/scheduling/tails.py
+++ b/src/marjoramwharf/scheduling/tails.py
@@ -17,17 +17,25 @@
 # Tasks over their target count this many times against their job.
 _HARM_WEIGHT = 4
 
+# Tasks of a step of this width count as one task each.
+_USUAL_WIDTH = 6
+
 # A weight times a share below this changes no tail.
 _LEAST_PUSH = 0.005
 
 
 @dataclass(frozen=True, slots=True)
 class ExpectedTail:
-    """A serving image and its expected tail as a share of the target."""
+    """A serving image and its expected tail as a share of the target.
+
+    ``weight`` is larger for a task of a wide step: a wide job is spread over
+    more workers and is spoilt by trouble on any of them.
+    """
 
     image: str
     share: float
     spoilt: float
+    weight: float
 
 
 def rest_share_of(run: Run, model: InterferenceModel) -> float:
@@ -64,7 +72,8 @@
     for tail in expected_tails(worker, model):
         push = model.weight(request.image, tail.image) * share
         if push > _LEAST_PUSH:
-            harm += spoilt_share(tail.share * math.exp(push)) - tail.spoilt
+            spoilt = spoilt_share(tail.share * math.exp(push))
+            harm += tail.weight * (spoilt - tail.spoilt)
     return harm
 
 
@@ -95,5 +104,6 @@
         if image not in factors:
             factors[image] = model.tail_factor(image, pressures)
         share = rest_share_of(run, model) * factors[image]
-        tails.append(ExpectedTail(image, share, spoilt_share(share)))
+        weight = math.sqrt(run.step.count / _USUAL_WIDTH)
+        tails.append(ExpectedTail(image, share, spoilt_share(share), weight))
     return tuple(tails)
