--- /dev/null
+++ b/tools/planner_cost.py
@@ -0,0 +1,116 @@
+"""Processor time of the planner by the number of workers.
+
+    python -m tools.planner_cost
+
+Each fleet serves lasting tasks on most of its processors; a thirtieth as many
+jobs of 20 filling tasks wait as there are workers.
+"""
+
+from __future__ import annotations
+
+import time
+
+from marjoramwharf.cells.records import encode, progress_of
+from marjoramwharf.ids import DataCentreId, JobId, WorkerId
+from marjoramwharf.scheduling.fleet import (
+    Fleet,
+    Room,
+    Worker,
+    WorkerListing,
+    WorkerState,
+)
+from marjoramwharf.scheduling.interference import InterferenceModel
+from marjoramwharf.scheduling.job_book import JobBook
+from marjoramwharf.scheduling.job_state import Job, RunPhase
+from marjoramwharf.scheduling.planner import Planner
+from marjoramwharf.scheduling.policy import QueuePolicy
+from marjoramwharf.scheduling.workload import JobRequest, StepRequest
+
+_SIZES = (33, 246, 1_000)
+_QUEUE = QueuePolicy('q', 'a.example', '/q/', 'presses', stretch=2)
+_SERVING_JOBS_SHARE = 0.7
+_WORKERS_PER_JOB = 30
+_US_PER_S = 1_000_000
+
+
+def main() -> None:
+    """Print the cost of placing a task for each size."""
+    for size in _SIZES:
+        book = JobBook()
+        fleet = Fleet({WorkerId(str(one)): _worker(one) for one in range(size)})
+        planner = Planner(book, fleet, InterferenceModel(), lambda _: None)
+        for number in range(int(size * _SERVING_JOBS_SHARE)):
+            _add(book, f's{number}', _serving(number))
+        _place(planner)
+        for worker in fleet.workers.values():
+            for run in worker.runs:
+                run.phase = RunPhase.RUNNING
+        jobs = [
+            _add(book, f'f{number}', _filling(number))
+            for number in range(max(1, size // _WORKERS_PER_JOB))
+        ]
+        began_s = time.process_time()
+        placed = _place(planner)
+        cost_us = (time.process_time() - began_s) * _US_PER_S / max(1, placed)
+        record_bytes = len(encode(progress_of(jobs[0])))
+        print(
+            f'{size} workers: {cost_us:.0f} us a task ({placed} placed), '
+            f'{record_bytes} bytes for the progress of the first job',
+        )
+
+
+def _worker(number: int) -> Worker:
+    listing = WorkerListing(
+        worker_id=WorkerId(str(number)),
+        service='presses',
+        host='10.0.0.1',
+        port=1,
+        data_centre=DataCentreId('ruse'),
+        state=WorkerState.READY,
+        capacity=Room(48_000 if number % 3 == 0 else 32_000, 128_000, 0),
+        labels=('a', f'r{number // 8}'),
+    )
+    return Worker(listing, is_reachable=True)
+
+
+def _serving(number: int) -> StepRequest:
+    return StepRequest(
+        8,
+        cpu_millicores=5_500,
+        memory_mb=9_000,
+        image=f'serve-{number % 5}',
+        is_lasting=True,
+        target_tail_ms=18,
+    )
+
+
+def _filling(number: int) -> StepRequest:
+    return StepRequest(
+        20,
+        cpu_millicores=3_500,
+        memory_mb=2_000,
+        estimate_ms=1_000,
+        image=f'fill-{number % 9}',
+        fills=True,
+    )
+
+
+def _add(book: JobBook, name: str, step: StepRequest) -> Job:
+    request = JobRequest(
+        job_id=JobId(name.rjust(16, '0')),
+        queue='q',
+        service='presses',
+        payload='',
+        steps=(step,),
+        accepted_at_ms=0,
+    )
+    return book.add(request, now_s=0, now_ms=0)
+
+
+def _place(planner: Planner) -> int:
+    plans = planner.plan({'q': _QUEUE}, now_s=0, now_ms=0)
+    return sum(len(plan.runs) for plan in plans)
+
+
+if __name__ == '__main__':
+    main()
