--- a/standins/platform_process.py
+++ b/standins/platform_process.py
@@ -10,6 +10,7 @@
 
 import argparse
 import json
+from collections.abc import Sequence
 
 import trio
 
@@ -22,8 +23,44 @@
 QUEUE_HOST = 'jobs.example'
 QUEUE_PREFIX = '/recipes/'
 
+# The environment variable with the path of an entry's settings file.
+SETTINGS_VARIABLE = 'MARJORAMWHARF_BOOT'
+
 _SERVICE = 'presses'
 
+_SETTINGS = """Node={name}
+Zone=ruse
+Region=south
+Ip={host}
+ListenAddrs.Front={host}:{front}
+ListenAddrs.Ready={host}:{ready}
+PortRange={peers},{peers}
+platform.Address={store}
+Bounds.GraceS=6
+Bounds.MaxHoldMs=10000
+"""
+
+
+def entry_settings(
+    name: str,
+    host: str,
+    ports: Sequence[int],
+    *,
+    store: str,
+) -> str:
+    """Return the settings file of an entry.
+
+    ``ports`` are those for callers, for readiness and for peers.
+    """
+    return _SETTINGS.format(
+        name=name,
+        host=host,
+        front=ports[0],
+        ready=ports[1],
+        peers=ports[2],
+        store=store,
+    )
+
 
 def configuration(version: int) -> bytes:
     """Return a configuration with one queue."""
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -19,7 +19,13 @@
 import trio
 
 from marjoramwharf.links.http_client import Answer, CallFailed, LeanClient
-from standins.platform_process import HOST, QUEUE_HOST, QUEUE_PREFIX
+from standins.platform_process import (
+    HOST,
+    QUEUE_HOST,
+    QUEUE_PREFIX,
+    SETTINGS_VARIABLE,
+    entry_settings,
+)
 from tools.processes import Process, free_ports
 
 _ENTRIES_COUNT = 3
@@ -30,18 +36,6 @@
 _LIMIT_S = 40.0
 _SUCCESS = 200
 
-_SETTINGS = """Node={name}
-Zone=ruse
-Region=south
-Ip={host}
-ListenAddrs.Front={host}:{front}
-ListenAddrs.Ready={host}:{ready}
-PortRange={peers},{peers}
-platform.Address={store}
-Bounds.GraceS=6
-Bounds.MaxHoldMs=10000
-"""
-
 
 @dataclass
 class DemoReport:
@@ -109,12 +103,10 @@
         host = f'127.0.0.{number}'
         path = self.folder / f'entry-{number}.conf'
         path.write_text(
-            _SETTINGS.format(
-                name=f'entry-{number}',
-                host=host,
-                front=ports[0],
-                ready=ports[1],
-                peers=ports[2],
+            entry_settings(
+                f'entry-{number}',
+                host,
+                ports,
                 store=f'{HOST}:{self.store_port}',
             ),
         )
@@ -122,7 +114,7 @@
             f'entry-{number}',
             ('marjoramwharf.programs.platform_entry',),
             self.folder / f'entry-{number}.log',
-            {'MARJORAMWHARF_BOOT': str(path)},
+            {SETTINGS_VARIABLE: str(path)},
         )
         self.entries.append(entry)
         self.fronts.append(f'http://{host}:{ports[0]}{QUEUE_PREFIX}')
