--- /dev/null
+++ b/src/marjoramwharf/programs/cells.py
@@ -0,0 +1,144 @@
+"""``marjoramwharf-cells``: owners, jobs and workers as the store has them.
+
+    marjoramwharf-cells --store 10.200.1.7:8169
+
+It only reads, so it may be run at any time, also while entries are down.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import trio
+
+from marjoramwharf.cells.records import (
+    OWNERS_PREFIX,
+    CellId,
+    OwnerRecord,
+    ProgressRecord,
+    decode,
+    inbox_prefix,
+    progress_prefix,
+    request_key,
+)
+from marjoramwharf.errors import BadListing
+from marjoramwharf.ids import JobId
+from marjoramwharf.links.http_client import LeanClient
+from marjoramwharf.links.store import PollingStore
+from marjoramwharf.platform.kv_store import KvStore
+from marjoramwharf.platform.worker_entries import (
+    WORKERS_PREFIX,
+    decode_listing,
+)
+from marjoramwharf.programs._command_line import run_command
+from marjoramwharf.programs._output import Row, print_rows
+
+_TIMEOUT_S = 3.0
+
+
+async def owner_rows(store: PollingStore) -> list[Row]:
+    """Return a row for each cell that has an owner."""
+    found = (await store.read_prefix(OWNERS_PREFIX)).found
+    rows: list[Row] = []
+    for stored in found:
+        record = decode(stored.body, OwnerRecord, key=stored.key)
+        rows.append(
+            {
+                'cell': stored.key.removeprefix(OWNERS_PREFIX),
+                'owner': record.entry_id,
+                'address': f'{record.host}:{record.port}',
+                'fence': stored.mod_revision,
+            },
+        )
+    return rows
+
+
+async def job_rows(store: PollingStore, cell: CellId) -> list[Row]:
+    """Return how many jobs of a cell are in which phase."""
+    phases: Counter[str] = Counter()
+    running = 0
+    for stored in (await store.read_prefix(progress_prefix(cell))).found:
+        record = decode(stored.body, ProgressRecord, key=stored.key)
+        phases[record.phase.name.lower()] += 1
+        running += sum(len(task.runs) for task in record.tasks)
+    inbox = (await store.read_prefix(inbox_prefix(cell))).found
+    prefix = request_key(cell, JobId(''))
+    accepted = sum(stored.key.startswith(prefix) for stored in inbox)
+    return [
+        {
+            'cell': cell,
+            'accepted': accepted,
+            **phases,
+            'not_begun': accepted - phases.total(),
+            'live_runs': running,
+        },
+    ]
+
+
+async def worker_rows(store: PollingStore) -> list[Row]:
+    """Return a row for each listed worker."""
+    rows: list[Row] = []
+    for stored in (await store.read_prefix(WORKERS_PREFIX)).found:
+        try:
+            listing = decode_listing(stored.key, stored.body)
+        except BadListing as failure:
+            rows.append({'worker': stored.key, 'state': str(failure)})
+            continue
+        rows.append(
+            {
+                'worker': listing.worker_id,
+                'service': listing.service,
+                'state': listing.state.value,
+                'data_centre': listing.data_centre,
+                'rack': listing.rack,
+                'cpu_millicores': listing.capacity.cpu_millicores,
+            },
+        )
+    return rows
+
+
+@cappa.command(name='marjoramwharf-cells')
+@dataclass
+class Cells:
+    """Print owners, jobs and workers from the platform's store."""
+
+    store: Annotated[
+        str,
+        cappa.Arg(long='--store', help='HOST:PORT of the store.'),
+    ]
+    cell: Annotated[
+        int,
+        cappa.Arg(long='--cell', default=0, help='Number of the cell.'),
+    ] = 0
+    as_json: Annotated[
+        bool,
+        cappa.Arg(long='--json', default=False, help='Print JSON.'),
+    ] = False
+
+    def run(self) -> int:
+        """Read the store and print three tables."""
+        trio.run(self._print)
+        return 0
+
+    async def _print(self) -> None:
+        store = KvStore(LeanClient(), self.store, timeout_s=_TIMEOUT_S)
+        for rows in (
+            await owner_rows(store),
+            await job_rows(store, CellId(self.cell)),
+            await worker_rows(store),
+        ):
+            print_rows(rows, as_json=self.as_json)
+
+
+def main() -> int:
+    """Run the command line; 3 if the store is not reached."""
+    command = cappa.parse(Cells)
+    return run_command(command.run)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
