--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -24,6 +24,10 @@
 _QUARANTINE_WEIGHT = 2.2
 _QUARANTINE_RATIO = 2.0
 
+# Bounds the time until a worker that failed everything is tried again: its
+# room may be needed, and two failures close it anew.
+_LARGEST_FAILURE_WEIGHT = 4.0
+
 
 @enum.unique
 class WorkerState(enum.Enum):
@@ -134,7 +138,8 @@
     def note_outcome(self, *, has_failed: bool, now_s: float) -> None:
         """Count a run that failed, or one that was done, on this worker."""
         decay = self._decay(now_s)
-        self.failure_weight = self.failure_weight * decay + has_failed
+        failures = self.failure_weight * decay + has_failed
+        self.failure_weight = min(failures, _LARGEST_FAILURE_WEIGHT)
         self.success_weight = self.success_weight * decay + (not has_failed)
         self.outcome_noted_s = now_s
 
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -107,6 +107,18 @@
         planned = _plan(self.book, fleet)
         self.assertEqual({'w2'}, {run.worker_id for run in planned})
 
+    def test_failing_worker_is_tried_again(self) -> None:
+        """Guards against room that stays closed long after the failures.
+
+        A lasting task has to start again within six seconds where there is
+        room, so a worker must not stay closed for longer.
+        """
+        worker = make_worker('w1')
+        for _ in range(40):
+            worker.note_outcome(has_failed=True, now_s=0)
+        self.assertFalse(worker.is_usable(1))
+        self.assertTrue(worker.is_usable(6))
+
     def test_failed_task_goes_elsewhere(self) -> None:
         """Guards against a task that fails again where it failed."""
         fleet = make_fleet(make_worker('w1'), make_worker('w2'))
