Keep serving tasks of different images on different workers

Cause: serving tasks were packed on the fullest worker with little regard to their image, so most workers served two or three images. Change: another image on a worker costs more than an empty worker. Ruled out: more room for what fills (the processors are not full).

--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -28,7 +28,7 @@
 _HARM_COST = 1.0
 _SERVED_COST = 0.01
 _USED_COST = 0.05
-_OTHER_IMAGE_COST = 0.2
+_OTHER_IMAGE_COST = 2.0
 _TOGETHER_GAIN = 0.3
 
 # Harm to less than one serving task is no reason to wait.
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -280,6 +280,27 @@
         self.assertEqual(2, len(late))
         self.assertEqual(1, len({run.worker_id for run in late}))
 
+    def test_images_are_kept_apart(self) -> None:
+        """Guards against serving tasks of two images on one worker.
+
+        Such a worker tolerates only the filling images that both tolerate.
+        """
+        workers = [make_worker(name) for name in ('a', 'b', 'c')]
+        fleet = make_fleet(*workers)
+        for image in ('x', 'y', 'x', 'y'):
+            serving = make_step(
+                3,
+                cpu_millicores=5_000,
+                is_lasting=True,
+                image=image,
+                target_tail_ms=18,
+            )
+            add_job(self.book, f'{image}{len(self.book.jobs)}', serving)
+        _plan(self.book, fleet)
+        for worker in workers:
+            images = {run.step.image for run in worker.serving_runs()}
+            self.assertLessEqual(len(images), 1)
+
     def test_weights_are_learned(self) -> None:
         """Guards against a model that mixes up two causes."""
         for number in range(300):
