Learn interference as lost headroom, and count harm beside and without present work

Cause: the model was linear in the logarithm of a tail, and a tail close to saturation taught it wrong weights; places whose serving tasks were over their targets counted as free, so that they were kept so by more filling work. Change: interference.py learns the headroom that each pair of images takes; own_load.py forecasts each serving job's own load; headroom.py counts harm in jobs, half beside the present filling tasks and half without them; pacing only bounds how long a tail is over its target, by what is read and what is expected.

--- a/src/marjoramwharf/cells/worker_board.py
+++ b/src/marjoramwharf/cells/worker_board.py
@@ -24,6 +24,7 @@
 from marjoramwharf.scheduling.job_book import JobBook
 from marjoramwharf.scheduling.job_state import Run, RunEnd
 from marjoramwharf.scheduling.pacing import PaceKeeper
+from marjoramwharf.scheduling.readings import ReadingLearner
 
 _LOG = part_logger('worker')
 
@@ -54,6 +55,7 @@
     fleet: Fleet = field(default_factory=Fleet)
     links: dict[WorkerId, WorkerLink] = field(default_factory=dict)
     _keepers: dict[WorkerId, PaceKeeper] = field(default_factory=dict)
+    _learners: dict[WorkerId, ReadingLearner] = field(default_factory=dict)
     _nursery: trio.Nursery | None = None
 
     def attach(self, nursery: trio.Nursery) -> None:
@@ -102,7 +104,7 @@
         if worker is None:
             return
         worker.remove(run)
-        self._keepers[worker.worker_id].note_end(run, now_s=now_s)
+        self._learners[worker.worker_id].note_end(run, now_s=now_s)
         if how in {RunEnd.DONE, RunEnd.FAILED}:
             worker.note_outcome(
                 has_failed=how is RunEnd.FAILED,
@@ -116,7 +118,7 @@
         if keeper is None or link is None or self._nursery is None:
             return
         now_s = boot_s()
-        keeper.learn(now_s=now_s)
+        self._learners[worker_id].learn(now_s=now_s)
         for run, percent in keeper.decide(now_s=now_s).items():
             _LOG.info(
                 'pace',
@@ -143,6 +145,7 @@
                 self.links.pop(worker_id).scope.cancel()
                 self.fleet.workers.pop(worker_id)
                 self._keepers.pop(worker_id)
+                self._learners.pop(worker_id)
 
     def _listing_of(self, event: StoreEvent) -> WorkerListing | None:
         if event.stored is None:
@@ -184,6 +187,7 @@
             self.model,
             self.harm_s,
         )
+        self._learners[worker_id] = ReadingLearner(worker, self.model)
         if self._nursery is not None:
             self._nursery.start_soon(link.run)
 
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -14,7 +14,7 @@
 from marjoramwharf.scheduling.workload import StepRequest
 
 if TYPE_CHECKING:
-    from marjoramwharf.scheduling.tails import ExpectedTail
+    from marjoramwharf.scheduling.headroom import ExpectedHeadroom
 
 # Share of its weight that the outcome of a run keeps after one second.
 _OUTCOME_DECAY_PER_S = 0.85
@@ -83,8 +83,8 @@
     are the decayed numbers of runs that failed and that were done there. A
     draining worker may be gone from ``leaves_s`` on. The latest look was at
     ``looked_s``. While the worker ``is_paused``, what fills there is
-    held back and nothing that fills is added. ``tails`` are kept by :mod:`scheduling.tails` and
-    valid while ``tails_version`` equals ``version``.
+    held back and nothing that fills is added. ``headrooms`` and their key are
+    kept by :mod:`scheduling.headroom`.
     """
 
     listing: WorkerListing
@@ -104,8 +104,8 @@
     serving_cpu: int = 0
     is_paused: bool = False
     version: int = 0
-    tails_version: int = -1
-    tails: tuple[ExpectedTail, ...] = ()
+    headrooms_key: tuple[int, int] = (-1, -1)
+    headrooms: tuple[ExpectedHeadroom, ...] = ()
     runs: set[Run] = field(default_factory=set)
     step_counts: Counter[int] = field(default_factory=Counter)
 
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from marjoramwharf.ids import JobId, TaskId, WorkerId
+from marjoramwharf.scheduling.own_load import OwnLoad
 from marjoramwharf.scheduling.workload import (
     JobRequest,
     StepRequest,
@@ -70,12 +71,12 @@
 
     ``percent`` is the progress that the worker reports, ``resumed_percent``
     the first one, and ``moved_s`` the last time at which it changed; it was
-    read at ``read_s``. It ran below its full speed until ``paced_until_s``. ``reading`` is the tail latency in ms of a
-    task that serves, and the processors in use (millicores) of any other.
-    ``rest_share`` is the share of its target that an undisturbed tail takes,
-    0 if that is not known. ``pace_percent`` is the share of its speed at which it may work. The run
-    may be ordered once ``planned_version`` of its job is stored. It
-    ``is_seen`` once its worker has listed it, and ``is_doubtful`` when an order to start it got no answer.
+    read at ``read_s``. ``pace_percent`` is the share of its speed at which it
+    may work, and ``paced_until_s`` the last time at which that was changed.
+    ``reading`` is the tail latency in ms of a task that serves, and the
+    processors in use (millicores) of any other. The run may be ordered once
+    ``planned_version`` of its job is stored. It ``is_seen`` once its worker
+    has listed it, and ``is_doubtful`` when an order to start it got no answer.
     """
 
     task: Task
@@ -91,7 +92,6 @@
     read_s: float = 0
     paced_until_s: float = 0
     reading: int = 0
-    rest_share: float = 0
     saved: str = ''
     pace_percent: int = 100
     planned_version: int = 0
@@ -135,7 +135,9 @@
 
     ``chain_ms`` is the estimated time from the start of the step to the end
     of the longest chain of steps that it begins. ``ended_paces`` are the
-    percentages per second of the runs that ended done.
+    percentages per second of the runs that ended done. ``own_load`` forecasts
+    the tails of a serving step, of whose tasks ``spoilt_counts`` tells by
+    worker how many are expected to be over their target.
     """
 
     occurrence: Occurrence
@@ -143,6 +145,8 @@
     request: StepRequest
     chain_ms: int = 0
     ended_paces: list[float] = field(default_factory=list)
+    own_load: OwnLoad = field(default_factory=OwnLoad)
+    spoilt_counts: dict[WorkerId, float] = field(default_factory=dict)
     tasks: list[Task] = field(default_factory=list)
     done_count: int = 0
 
--- a/src/marjoramwharf/scheduling/pacing.py
+++ b/src/marjoramwharf/scheduling/pacing.py
@@ -1,4 +1,4 @@
-"""Keeps the tails of serving tasks under their targets on one worker.
+"""Bounds how long a tail stays over its target on one worker.
 
 Load answered: filling tasks that turn out to disturb what serves beside them.
 The ones that are to blame most are slowed first; a tail that stays over its
@@ -8,18 +8,30 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from marjoramwharf.scheduling.fleet import Worker
+from marjoramwharf.scheduling.headroom import share_of
 from marjoramwharf.scheduling.interference import InterferenceModel, Pressure
-from marjoramwharf.scheduling.job_state import Run, RunPhase
-from marjoramwharf.scheduling.tails import rest_share_of
+from marjoramwharf.scheduling.job_state import Run, Step
+from marjoramwharf.scheduling.readings import at_work, headroom_of
 
 FULL_PERCENT = 100
 
-# The share of its target to which a pause should bring a tail.
-_GOAL_SHARE = 0.7
+# Paces are multiples of this, so that few orders are needed.
+_PACE_STEP_PERCENT = 25
+
+# The headroom that a pace should leave: the target, and a part for what is
+# not known of a pair of images.
+_WANTED_HEADROOM = 1.2
+_SPREAD_FACTOR = 0.4
+
+# How far ahead a pace is chosen for, which is until about the next look.
+_AHEAD_S = 0.4
+
+# A pace is not raised again sooner than this after a change.
+_RAISE_PAUSE_S = 0.4
 
 # How long before a tail has been over its target for too long the runs to
 # blame are paused, and all filling work of the worker: an order takes a tenth
@@ -27,18 +39,8 @@
 _PAUSE_MARGIN_S = 1.7
 _PAUSE_ALL_MARGIN_S = 1.2
 
-# Readings cover the last half second.
-_READING_WINDOW_S = 0.5
-
-
-@dataclass(slots=True)
-class _Past:
-    """A filling run that has ended, for as long as readings show it."""
-
-    image: str
-    share: float
-    started_s: float
-    ended_s: float
+# A run to blame for less than this loss of headroom is left alone.
+_LEAST_BLAME = 0.05
 
 
 @dataclass(slots=True)
@@ -52,57 +54,19 @@
     model: InterferenceModel
     harm_s: float
     _over_since_s: dict[Run, float] = field(default_factory=dict)
-    _past: list[_Past] = field(default_factory=list)
     _looked_s: float = 0
 
-    def note_end(self, run: Run, *, now_s: float) -> None:
-        """Remember a filling run that has just ended."""
-        if run.step.fills and run.started_s is not None:
-            self._past.append(
-                _Past(
-                    run.step.image,
-                    share_of(run, self.worker, run.pace_percent),
-                    run.started_s,
-                    now_s,
-                ),
-            )
-
-    def learn(self, *, now_s: float) -> None:
-        """Let the model learn from the latest readings."""
-        pressures = self._recent_pressures(now_s)
-        for run in _at_work(self.worker.serving_runs()):
-            if run.reading and _is_settled(run, now_s):
-                run.rest_share = self.model.observe(
-                    run.step.image,
-                    pressures,
-                    rest_share=rest_share_of(run, self.model),
-                    tail_share=_tail_share(run),
-                )
-        self.worker.touch()
-
     def decide(self, *, now_s: float) -> Mapping[Run, int]:
         """Return the runs whose pace changes, with the new percentage."""
-        serving = [
-            run for run in _at_work(self.worker.serving_runs()) if run.reading
-        ]
-        filling = _at_work(self.worker.filling_runs())
-        over = [run for run in serving if _tail_share(run) > 1]
-        # A tail may have risen right after the last look that found it low.
-        self._over_since_s = {
-            run: self._over_since_s.get(run, self._looked_s) for run in over
-        }
-        self._looked_s = now_s
-        longest_s: float = 0
-        if over:
-            longest_s = now_s - min(self._over_since_s.values())
+        filling = at_work(self.worker.filling_runs())
+        longest_s = self._longest_over_s(now_s)
         self.worker.is_paused = longest_s >= self.harm_s - _PAUSE_MARGIN_S
-        if not over:
-            return _changes(dict.fromkeys(filling, FULL_PERCENT))
-        if not self.worker.is_paused:
-            return {}
+        paces = dict.fromkeys(filling, FULL_PERCENT)
         if longest_s >= self.harm_s - _PAUSE_ALL_MARGIN_S:
-            return _changes(dict.fromkeys(filling, 0))
-        return self._pause(over, filling)
+            paces = dict.fromkeys(filling, 0)
+        elif self.worker.is_paused:
+            paces = self._paces(filling, now_s)
+        return _changes(paces, now_s)
 
     def needs_look(self) -> bool:
         """Whether the next look is due soon, to end a pause or begin one."""
@@ -111,79 +75,106 @@
             for run in self.worker.filling_runs()
         )
 
-    def _pause(
+    def _longest_over_s(self, now_s: float) -> float:
+        """Return how long a tail may have been over its target by now."""
+        # A tail may have risen right after the last look that found it low.
+        self._over_since_s = {
+            run: self._over_since_s.get(run, self._looked_s)
+            for run in at_work(self.worker.serving_runs())
+            if run.reading and headroom_of(run) < 1
+        }
+        self._looked_s = now_s
+        return now_s - min(self._over_since_s.values(), default=now_s)
+
+    def _paces(
         self,
-        over: Sequence[Run],
         filling: Sequence[Run],
-    ) -> Mapping[Run, int]:
-        """Pause the runs to blame until the tails are expected back."""
-        excess = {run: math.log(_tail_share(run) / _GOAL_SHARE) for run in over}
-        paused: dict[Run, int] = {}
-        for run in sorted(filling, key=self._blame_by(over), reverse=True):
-            if max(excess.values()) <= 0:
-                break
-            paused[run] = 0
-            share = share_of(run, self.worker, run.pace_percent)
-            for served in excess:
-                weight = self.model.weight(run.step.image, served.step.image)
-                excess[served] -= weight * share
-        return _changes(paused)
-
-    def _blame_by(self, over: Sequence[Run]) -> Callable[[Run], float]:
-        def blame(run: Run) -> float:
-            share = share_of(run, self.worker, run.pace_percent)
-            return share * sum(
-                self.model.weight(run.step.image, served.step.image)
-                for served in over
+        now_s: float,
+    ) -> dict[Run, int]:
+        """Slow what is to blame until all headrooms are expected to do."""
+        paces = dict.fromkeys(filling, FULL_PERCENT)
+        lacking = self._lacking(filling, now_s)
+        for run in sorted(filling, key=self._blame_by(lacking), reverse=True):
+            share = share_of(run, self.worker, FULL_PERCENT)
+            image = run.step.image
+            weights = {
+                step: self.model.weight(image, step.request.image) * share
+                for step in lacking
+            }
+            needed = max(
+                (
+                    lacking[step] / weight
+                    for step, weight in weights.items()
+                    if weight > _LEAST_BLAME and lacking[step] > 0
+                ),
+                default=0,
             )
+            cut = _rounded_up(min(1, needed))
+            paces[run] = FULL_PERCENT - cut
+            for step, weight in weights.items():
+                lacking[step] -= weight * cut / FULL_PERCENT
+        return paces
 
-        return blame
+    def _lacking(
+        self,
+        filling: Sequence[Run],
+        now_s: float,
+    ) -> dict[Step, float]:
+        """Return the headroom that each serving step lacks at full pace.
 
-    def _recent_pressures(self, now_s: float) -> list[Pressure]:
-        since_s = now_s - _READING_WINDOW_S
-        self._past = [past for past in self._past if past.ended_s > since_s]
-        found = [
+        What is read counts as well as what is expected.
+        """
+        pressures = [
             Pressure(
-                past.image,
-                past.share * _overlap(past.started_s, past.ended_s, since_s),
+                run.step.image,
+                share_of(run, self.worker, FULL_PERCENT),
             )
-            for past in self._past
+            for run in filling
         ]
-        for run in _at_work(self.worker.filling_runs()):
-            started_s = now_s if run.started_s is None else run.started_s
-            part = _overlap(started_s, now_s, since_s)
-            share = share_of(run, self.worker, run.pace_percent)
-            found.append(Pressure(run.step.image, share * part))
-        return [pressure for pressure in found if pressure.share > 0]
-
-
-def share_of(run: Run, worker: Worker, percent: int) -> float:
-    """Return the share of a worker that a run takes at a pace."""
-    whole = max(1, worker.capacity.cpu_millicores)
-    return run.step.cpu_millicores / whole * percent / FULL_PERCENT
-
-
-def _overlap(started_s: float, ended_s: float, since_s: float) -> float:
-    length_s = ended_s - max(started_s, since_s)
-    return min(1, max(0, length_s / _READING_WINDOW_S))
-
-
-def _tail_share(run: Run) -> float:
-    return run.reading / max(1, run.step.target_tail_ms)
-
+        lacking: dict[Step, float] = {}
+        for run in at_work(self.worker.serving_runs()):
+            step = run.task.step
+            if step not in lacking:
+                loss = self.model.loss(step.request.image, pressures)
+                rest = step.own_load.forecast(at_s=now_s + _AHEAD_S)
+                margin = _SPREAD_FACTOR * math.sqrt(loss.variance)
+                wanted = _WANTED_HEADROOM + margin
+                lacking[step] = wanted - rest + loss.headroom
+            if run in self._over_since_s:
+                seen = _WANTED_HEADROOM - headroom_of(run)
+                lacking[step] = max(lacking[step], seen)
+        return lacking
+
+    def _blame_by(
+        self,
+        lacking: Mapping[Step, float],
+    ) -> Callable[[Run], float]:
+        def blame(run: Run) -> float:
+            share = share_of(run, self.worker, FULL_PERCENT)
+            return share * sum(
+                self.model.weight(run.step.image, step.request.image)
+                for step, lack in lacking.items()
+                if lack > 0
+            )
 
-def _is_settled(run: Run, now_s: float) -> bool:
-    started_s = run.started_s
-    return started_s is not None and now_s - started_s > _READING_WINDOW_S
+        return blame
 
 
-def _at_work(runs: Iterable[Run]) -> list[Run]:
-    return [run for run in runs if run.phase is RunPhase.RUNNING]
+def _rounded_up(part: float) -> int:
+    """Return a part of the full pace as a percentage, in whole steps."""
+    steps = math.ceil(part * FULL_PERCENT / _PACE_STEP_PERCENT)
+    return steps * _PACE_STEP_PERCENT
 
 
-def _changes(paces: Mapping[Run, int]) -> Mapping[Run, int]:
+def _changes(paces: Mapping[Run, int], now_s: float) -> Mapping[Run, int]:
     return {
         run: percent
         for run, percent in paces.items()
-        if percent != run.pace_percent
+        if _is_due(run, percent, now_s)
     }
+
+
+def _is_due(run: Run, percent: int, now_s: float) -> bool:
+    if percent > run.pace_percent:
+        return now_s - run.paced_until_s > _RAISE_PAUSE_S
+    return percent < run.pace_percent
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -16,7 +16,7 @@
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_state import Run, RunPhase, Task
-from marjoramwharf.scheduling.tails import harm_of
+from marjoramwharf.scheduling.headroom import harm_of
 from marjoramwharf.scheduling.workload import StepRequest
 
 # Cost of a choice, in units of one whole worker in use.
@@ -25,14 +25,12 @@
 _SAME_FAILURE_COST = 4.0
 _OTHER_RACK_COST = 6.0
 _OVERFULL_COST = 3.0
-_HARM_COST = 1.0
+_HARM_COST = 4.0
 _SERVED_COST = 0.01
 _USED_COST = 0.05
 _OTHER_IMAGE_COST = 2.0
 _TOGETHER_GAIN = 0.3
 
-# Harm to less than one serving task is no reason to wait.
-_HARM_FLOOR = 1.0
 _FILL_BESIDE_SERVING_COST = 1.0
 
 # A serving task uses about this share of the processors that it reserves.
@@ -41,6 +39,9 @@
 # Least share of a worker that counts as left by what serves there.
 _LEAST_LEFT_SHARE = 0.05
 
+# The size of a serving job in millicores as long as none is known.
+USUAL_SERVING_CPU = 40_000.0
+
 # A worker takes filling tasks up to this share of its processors.
 _FILL_LIMIT_SHARE = 1.0
 
@@ -50,12 +51,14 @@
     """What a choice depends on besides the task and the workers.
 
     A filling task waits rather than spoil more than ``allowed_harm`` serving
-    tasks. ``avoid`` are workers that must not be chosen.
+    jobs, of which a usual one has ``usual_serving_cpu`` millicores. ``avoid``
+    are workers that must not be chosen.
     """
 
     model: InterferenceModel
     now_s: float
     allowed_harm: float = math.inf
+    usual_serving_cpu: float = USUAL_SERVING_CPU
     avoid: frozenset[WorkerId] = frozenset()
 
 
@@ -200,7 +203,13 @@
     used = plain + worker.fill_cpu / whole + serving + own
     if used > _FILL_LIMIT_SHARE and worker.fill_cpu:
         return math.inf
-    harm = harm_of(request, worker, choice.model)
+    harm = harm_of(
+        request,
+        worker,
+        choice.model,
+        now_s=choice.now_s,
+        usual_cpu=choice.usual_serving_cpu,
+    )
     if harm > choice.allowed_harm:
         return math.inf
     served = len(list(worker.serving_runs()))
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -19,6 +20,7 @@
     step_rank,
 )
 from marjoramwharf.scheduling.placement import (
+    USUAL_SERVING_CPU,
     Choice,
     StepChooser,
     choose_worker,
@@ -27,14 +29,16 @@
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.refusals import Refusals
 
-# Serving tasks that a step may spoil: few while it has time to wait, and one
-# more for each ``_HARM_STEP_MS`` below ``_PATIENT_SLACK_MS`` of slack.
-_PATIENT_HARM = 0.5
+# Serving jobs that a task may spoil: hardly any while its job has time to
+# wait, and one more for each ``_HARM_STEP_MS`` below ``_PATIENT_SLACK_MS``.
+_PATIENT_HARM = 0.04
 _PATIENT_SLACK_MS = 1_000
-_HARM_STEP_MS = 150
+_HARM_STEP_MS = 800
 
-# Serving tasks that a task of a job that is late anyway may spoil.
-_LATE_HARM = 2.0
+# Serving jobs that a task of a job that is late anyway may spoil, and how many
+# more after each second, so that it starts at last.
+_LATE_HARM = 0.15
+_LATE_HARM_PER_S = 0.1
 
 # A step that waited this long starts anywhere if less than this share of the
 # processors is in use.
@@ -91,10 +95,17 @@
         )
         planned: list[StepPlan] = []
         refusals = Refusals()
+        usual_cpu = self._usual_serving_cpu()
         for rank, number in ranked:
             group = groups[number]
             service = queue_of(group[0], queues).service
-            plan = self._plan_group(group, service, rank, refusals, now_s)
+            choice = Choice(
+                self.model,
+                now_s,
+                allowed_harm=self._allowed_harm(group[0], rank, now_s),
+                usual_serving_cpu=usual_cpu,
+            )
+            plan = self._plan_group(group, service, rank, refusals, choice)
             if plan is not None:
                 planned.append(plan)
         return planned
@@ -105,14 +116,13 @@
         service: str,
         rank: Rank,
         refusals: Refusals,
-        now_s: float,
+        choice: Choice,
     ) -> StepPlan | None:
         """Place the ready tasks of one step, as far as there is room."""
         step = group[0].step.request
-        allowed_harm = self._allowed_harm(group[0], rank, now_s)
+        allowed_harm = choice.allowed_harm
         if refusals.covers(service, step, allowed_harm):
             return None
-        choice = Choice(self.model, now_s, allowed_harm=allowed_harm)
         runs = self._place_group(group, service, choice)
         # Steps with a rack, a gang or tickets of their own have fewer workers.
         is_general = not (step.is_gang or step.needs_one_rack)
@@ -149,13 +159,24 @@
             Choice(self.model, now_s, avoid=taken),
         )
 
+    def _usual_serving_cpu(self) -> float:
+        """Return the mean size of the serving jobs in millicores."""
+        sizes = [
+            step.count * step.cpu_millicores
+            for job in self.book.jobs.values()
+            if job.is_open
+            for step in job.request.steps
+            if step.target_tail_ms
+        ]
+        return statistics.fmean(sizes) if sizes else USUAL_SERVING_CPU
+
     def _allowed_harm(self, task: Task, rank: Rank, now_s: float) -> float:
-        """Return how many serving tasks a task may spoil."""
+        """Return how many serving jobs a task may spoil."""
         waited_s = now_s - task.ready_since_s
         if waited_s > _LONGEST_IDLE_WAIT_S and self._is_idle():
             return math.inf
         if rank.tier is not Tier.ON_TIME:
-            return _LATE_HARM
+            return _LATE_HARM + _LATE_HARM_PER_S * waited_s
         pressure = (_PATIENT_SLACK_MS - rank.slack_ms) / _HARM_STEP_MS
         return _PATIENT_HARM + max(0, pressure)
 
--- a/tests/scheduling/test_pacing.py
+++ b/tests/scheduling/test_pacing.py
@@ -5,10 +5,11 @@
 import unittest
 
 from marjoramwharf.scheduling.fleet import WorkerState
-from marjoramwharf.scheduling.interference import InterferenceModel
+from marjoramwharf.scheduling.interference import InterferenceModel, Pressure
 from marjoramwharf.scheduling.job_book import JobBook
 from marjoramwharf.scheduling.job_state import Run, RunEnd
 from marjoramwharf.scheduling.pacing import PaceKeeper
+from marjoramwharf.scheduling.readings import ReadingLearner
 from marjoramwharf.scheduling.rescue import Trouble, find_rescues
 from tests.scheduling.fixtures import (
     add_job,
@@ -30,6 +31,7 @@
         self.worker = make_worker('w1')
         self.model = InterferenceModel()
         self.keeper = PaceKeeper(self.worker, self.model, _HARM_S)
+        self.learner = ReadingLearner(self.worker, self.model)
         serving = make_step(image='s', is_lasting=True, target_tail_ms=18)
         filling = make_step(image='f', fills=True, cpu_millicores=4_000)
         self.serving = self._start('a', serving)
@@ -60,10 +62,53 @@
         """Guards against readings that don't reach the model."""
         before = self.model.weight('f', 's')
         for number in range(20):
-            self._look(18 * 4, now_s=1 + number)
-            self.keeper.learn(now_s=1 + number)
+            self._look(18 * 4, now_s=2 + number)
+            self.learner.learn(now_s=2 + number)
         self.assertGreater(self.model.weight('f', 's'), before)
 
+    def test_a_run_that_ended_still_counts(self) -> None:
+        """Guards against tails put down to what runs now.
+
+        Readings cover half a second, so a run that has just ended shows.
+        """
+        self.learner.note_end(self.filling, now_s=9.9)
+        self.worker.remove(self.filling)
+        self.serving.reading = 18 * 4
+        self.learner.learn(now_s=10)
+        calm = self.serving.task.step.own_load.forecast(at_s=10)
+        self.assertGreater(calm, 1)
+
+    def test_the_run_to_blame_is_paused(self) -> None:
+        """Guards against a pause of work that disturbs nothing."""
+        harmless = self._start(
+            'c',
+            make_step(image='g', fills=True, cpu_millicores=4_000),
+        )
+        for _ in range(40):
+            self.model.observe(
+                's',
+                [Pressure('f', 0.1)],
+                lost=1,
+                variance=0.05,
+            )
+            self.model.observe(
+                's',
+                [Pressure('g', 0.1)],
+                lost=0,
+                variance=0.05,
+            )
+        for _ in range(20):
+            self.serving.task.step.own_load.observe(
+                2,
+                at_s=3,
+                variance=0.05,
+            )
+        self._look(9, now_s=1)
+        self._look(18 * 3, now_s=1.2)
+        paces = self._look(18 * 3, now_s=3.4)
+        self.assertLess(paces[self.filling], 50)
+        self.assertNotIn(harmless, paces)
+
     def _start(self, name: str, step: object) -> Run:
         job = add_job(self.book, name, step)  # type: ignore[arg-type]
         return start_run(self.book, first_task(job), self.worker)
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import unittest
 from collections import Counter
 
@@ -249,12 +248,14 @@
         self.model = InterferenceModel()
 
     def _teach(self, serving: str, factor: float) -> None:
+        """Teach how many times a tenth of a worker lengthens a tail."""
+        rest = 1 / 0.45
         for _ in range(60):
             self.model.observe(
                 serving,
                 [Pressure('fill', 0.1)],
-                rest_share=0.45,
-                tail_share=0.45 * factor,
+                lost=rest - rest / factor,
+                variance=0.05,
             )
 
     def test_goes_where_it_is_tolerated(self) -> None:
@@ -301,6 +302,21 @@
             images = {run.step.image for run in worker.serving_runs()}
             self.assertLessEqual(len(images), 1)
 
+    def test_spoilt_workers_are_no_dump(self) -> None:
+        """Guards against filling work that keeps a tail over its target.
+
+        A tail that is over its target now would recover once the present
+        filling tasks have ended, so more of them are not free of cost.
+        """
+        self._teach('s', 6)
+        self._teach('t', 6)
+        present = make_step(3, cpu_millicores=4_000, image='fill', fills=True)
+        job = add_job(self.book, 'present', present)
+        for task in job.occurrences[0].steps[0].tasks:
+            start_run(self.book, task, self.workers[0])
+        add_job(self.book, 'next', make_step(image='fill', fills=True))
+        self.assertFalse(_plan(self.book, self.fleet, model=self.model))
+
     def test_weights_are_learned(self) -> None:
         """Guards against a model that mixes up two causes."""
         for number in range(300):
@@ -309,12 +325,11 @@
                 Pressure('heavy', shares[0]),
                 Pressure('light', shares[1]),
             ]
-            factor = math.exp(7 * shares[0] + 0.5 * shares[1])
             self.model.observe(
                 's',
                 pressures,
-                rest_share=0.45,
-                tail_share=0.45 * factor,
+                lost=7 * shares[0] + 0.5 * shares[1],
+                variance=0.05,
             )
         self.assertAlmostEqual(7, self.model.weight('heavy', 's'), delta=0.7)
         self.assertAlmostEqual(0.5, self.model.weight('light', 's'), delta=0.7)
