Have store calls carried out by a peer while the store turns an entry away

Change: StoreReach judges whether the store answers; RelayedStore has calls carried out by a peer while it doesn't (peers are known from leased records in 64 slots); an entry without either refuses at once, gives up what may be stored as unknown, and is not ready. A connect without an answer counts as not sent. A repeat of a known job is accepted while the store is away. Ruled out: a longer Retry-After, since callers wait for 0.4 of the time they have left at most.

--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -48,14 +48,23 @@
 }
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class Intake:
-    """The callers' side of a cell at one entry."""
+    """The callers' side of a cell at one entry.
+
+    ``is_reachable`` tells whether a call to the store is likely to be carried
+    out.
+    """
 
     store: PollingStore
     cell: CellId
     owner: OwnerLink
     local: CellSource
+    is_reachable: Callable[[], bool] = _always
     counters: CellCounters = field(default_factory=CellCounters)
 
     async def submit(
@@ -64,15 +73,35 @@
         *,
         deadline_s: float,
     ) -> Submission:
-        """Store a job; a repeat of a known one is accepted again."""
-        if await self._is_servable(request):
+        """Store a job; a repeat of a known one is accepted again.
+
+        While the store can't be reached, a job is refused at once, so that
+        its caller may ask another entry. A job that may have been stored is
+        given up then too, as ``UNKNOWN``.
+        """
+        outcome = await self._first_refusal(request)
+        if outcome is None:
             outcome = await self._store(request, deadline_s)
-        else:
-            _LOG.info('job unservable', job=request.job_id)
-            outcome = Submission.UNSERVABLE
         self.counters.submissions[outcome] += 1
         return outcome
 
+    async def _first_refusal(self, request: JobRequest) -> Submission | None:
+        """Return why a job need not be sent to the store, if it needn't."""
+        if not self.is_reachable():
+            return await self._answer_repeat(request)
+        if await self._is_servable(request):
+            return None
+        _LOG.info('job unservable', job=request.job_id)
+        return Submission.UNSERVABLE
+
+    async def _answer_repeat(self, request: JobRequest) -> Submission:
+        """Answer a submission without the store: a known job is accepted."""
+        if await self._ask_owner(request.job_id) is not None:
+            _LOG.info('job accepted', job=request.job_id, is_new=False)
+            return Submission.ACCEPTED
+        _LOG.info('submission refused', job=request.job_id, store='away')
+        return Submission.REFUSED
+
     async def _is_servable(self, request: JobRequest) -> bool:
         """Ask the owner; a job that it can't be asked about is taken."""
         cell = self.local()
@@ -89,34 +118,39 @@
         request: JobRequest,
         deadline_s: float,
     ) -> Submission:
-        key = request_key(self.cell, request.job_id)
-        write = Write(key, encode(request))
         is_unknown = False
         while True:
-            try:
-                outcome = await self.store.commit([Guard(key, 0)], [write])
-            except StoreAnswerLost as lost:
-                _LOG.info(
-                    'submission without an answer',
-                    job=request.job_id,
-                    error=str(lost),
-                )
-                is_unknown = True
-            except Failure as failure:
-                if not is_unknown:
-                    _LOG.info(
-                        'submission refused',
-                        job=request.job_id,
-                        error=str(failure),
-                    )
-                    return Submission.REFUSED
-            else:
-                self._note(request, outcome)
-                return Submission.ACCEPTED
-            if trio.current_time() + _RETRY_PAUSE_S >= deadline_s:
+            outcome = await self._store_once(request)
+            is_unknown = is_unknown or outcome is Submission.UNKNOWN
+            if outcome is Submission.ACCEPTED or not is_unknown:
+                return outcome
+            is_late = trio.current_time() + _RETRY_PAUSE_S >= deadline_s
+            if is_late or not self.is_reachable():
                 return Submission.UNKNOWN
             await trio.sleep(_RETRY_PAUSE_S)
 
+    async def _store_once(self, request: JobRequest) -> Submission:
+        key = request_key(self.cell, request.job_id)
+        write = Write(key, encode(request))
+        try:
+            outcome = await self.store.commit([Guard(key, 0)], [write])
+        except StoreAnswerLost as lost:
+            _LOG.info(
+                'submission without an answer',
+                job=request.job_id,
+                error=str(lost),
+            )
+            return Submission.UNKNOWN
+        except Failure as failure:
+            _LOG.info(
+                'submission refused',
+                job=request.job_id,
+                error=str(failure),
+            )
+            return Submission.REFUSED
+        self._note(request, outcome)
+        return Submission.ACCEPTED
+
     async def status(self, job_id: JobId) -> ShownState | None:
         """Return the state of a job, ``None`` if no such job is stored.
 
@@ -125,12 +159,22 @@
         shown = await self._ask_owner(job_id)
         return await self._read_status(job_id) if shown is None else shown
 
-    async def cancel(self, job_id: JobId) -> bool:
+    async def cancel(self, job_id: JobId, *, deadline_s: float) -> bool:
         """Cancel a job once that is stored; tell whether it is known.
 
-        Raises ``StoreUnavailable`` or ``StoreAnswerLost``; the caller may
-        repeat the call.
+        Raises ``StoreUnavailable`` or ``StoreAnswerLost`` when time is up or
+        the store can't be reached.
         """
+        while True:
+            try:
+                return await self._cancel_once(job_id)
+            except (StoreUnavailable, StoreAnswerLost):
+                is_late = trio.current_time() + _RETRY_PAUSE_S >= deadline_s
+                if is_late or not self.is_reachable():
+                    raise
+            await trio.sleep(_RETRY_PAUSE_S)
+
+    async def _cancel_once(self, job_id: JobId) -> bool:
         revision = await self._revision_of(job_id)
         if revision is None:
             return False
@@ -196,21 +240,6 @@
         return None if stored is None else stored.mod_revision
 
 
-async def with_retries(
-    call: Callable[[], Awaitable[bool]],
-    *,
-    deadline_s: float,
-) -> bool:
-    """Repeat an idempotent call until it is answered or time is up."""
-    while True:
-        try:
-            return await call()
-        except (StoreUnavailable, StoreAnswerLost):
-            if trio.current_time() + _RETRY_PAUSE_S >= deadline_s:
-                raise
-        await trio.sleep(_RETRY_PAUSE_S)
-
-
 def _shown(
     progress: StoredValue | None,
     *,
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -16,7 +16,7 @@
 from marjoramwharf.cells.records import (
     OWNERS_PREFIX,
     CellId,
-    OwnerRecord,
+    EntryRecord,
     decode,
     encode,
     owner_key,
@@ -49,7 +49,7 @@
 class KnownOwner:
     """The owner of a cell, and the revision of its record."""
 
-    record: OwnerRecord
+    record: EntryRecord
     revision: int
 
 
@@ -70,7 +70,7 @@
             if event.stored is None:
                 self.owners.pop(cell, None)
                 continue
-            record = decode(event.stored.body, OwnerRecord, key=event.key)
+            record = decode(event.stored.body, EntryRecord, key=event.key)
             self.owners[cell] = KnownOwner(
                 record,
                 event.stored.mod_revision,
@@ -123,7 +123,7 @@
     store: PollingStore
     view: OwnerView
     cell: CellId
-    record: OwnerRecord
+    record: EntryRecord
     ttl_ms: int
     cpu_share: float
     run_cell: RunCell
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -27,12 +27,13 @@
 CellId = NewType('CellId', int)
 
 OWNERS_PREFIX = 'mw/own/'
+ENTRIES_PREFIX = 'mw/entry/'
 
 _Model = TypeVar('_Model')
 
 
-class OwnerRecord(Struct, frozen=True, array_like=True):
-    """The entry that owns a cell, and where it takes messages of peers."""
+class EntryRecord(Struct, frozen=True, array_like=True):
+    """An entry, for one the owner of a cell, and where it takes messages."""
 
     entry_id: str
     host: str
@@ -77,6 +78,11 @@
     return f'{OWNERS_PREFIX}{cell}'
 
 
+def entry_key(slot: int) -> str:
+    """Key of the leased record of an entry."""
+    return f'{ENTRIES_PREFIX}{slot}'
+
+
 def inbox_prefix(cell: CellId) -> str:
     """Prefix of what entries write for the owner of a cell."""
     return f'mw/{cell}/in/'
--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -71,6 +71,13 @@
     has_answer: bool = False
 
 
+@dataclass(slots=True)
+class _Progress:
+    """Whether any part of a request may have left this process."""
+
+    is_sent: bool = False
+
+
 @dataclass(slots=True)
 class LeanClient:
     """Keeps idle connections by address."""
@@ -93,7 +100,8 @@
         A request on a kept connection that ends without a byte of an answer
         is sent once more on a new one, so requests have to be idempotent. A
         ``Host`` among the headers replaces that of the address.
-        Raises ``NotConnected`` if nothing was sent, else ``CallFailed``.
+        Raises ``NotConnected`` if nothing was sent, also when the time was up
+        before a connection was open, else ``CallFailed``.
         """
         parts = urlsplit(url)
         address = (parts.hostname or '', parts.port or _DEFAULT_PORT)
@@ -108,27 +116,25 @@
                 }.items(),
             ),
         )
+        progress = _Progress()
         with trio.move_on_after(timeout_s):
             try:
-                return await self._attempt(address, sent, body, fresh=False)
+                return await self._attempt(address, sent, body, progress)
             except _Stale:
-                return await self._attempt(address, sent, body, fresh=True)
+                return await self._attempt(address, sent, body, progress)
+        if not progress.is_sent:
+            raise NotConnected(f'no connection within {timeout_s} s')
         raise CallFailed(f'no answer within {timeout_s} s')
 
-    async def drop(self, address: Address) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            await trio.aclose_forcefully(connection.stream)
-
     async def _attempt(
         self,
         address: Address,
         sent: h11.Request,
         body: bytes,
-        *,
-        fresh: bool,
+        progress: _Progress,
     ) -> Answer:
-        connection = await self._take(address, fresh=fresh)
+        connection = await self._take(address, fresh=progress.is_sent)
+        progress.is_sent = True
         try:
             answer = await _exchange(connection, sent, body)
         except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
--- a/src/marjoramwharf/platform/front.py
+++ b/src/marjoramwharf/platform/front.py
@@ -9,7 +9,7 @@
 import trio
 
 from marjoramwharf.cells.clocks import wall_ms
-from marjoramwharf.cells.intake import Intake, with_retries
+from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.intake_outcomes import Submission
 from marjoramwharf.errors import BadJob, Failure
 from marjoramwharf.ids import JobId
@@ -136,10 +136,7 @@
         return HttpReply(200, job_bodies.encode_state(state))
 
     async def _cancel(self, job_id: JobId, deadline_s: float) -> HttpReply:
-        async def cancel() -> bool:
-            return await self.intake.cancel(job_id)
-
-        known = await with_retries(cancel, deadline_s=deadline_s)
+        known = await self.intake.cancel(job_id, deadline_s=deadline_s)
         return _CANCELLED if known else _NO_JOB
 
     async def _count(
--- a/src/marjoramwharf/programs/cells.py
+++ b/src/marjoramwharf/programs/cells.py
@@ -18,7 +18,7 @@
 from marjoramwharf.cells.records import (
     OWNERS_PREFIX,
     CellId,
-    OwnerRecord,
+    EntryRecord,
     ProgressRecord,
     decode,
     inbox_prefix,
@@ -45,7 +45,7 @@
     found = (await store.read_prefix(OWNERS_PREFIX)).found
     rows: list[Row] = []
     for stored in found:
-        record = decode(stored.body, OwnerRecord, key=stored.key)
+        record = decode(stored.body, EntryRecord, key=stored.key)
         rows.append(
             {
                 'cell': stored.key.removeprefix(OWNERS_PREFIX),
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -16,11 +16,12 @@
 from marjoramwharf.cells.cell import Cell, CellParts, Mandate
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.config_keeper import ConfigKeeper
+from marjoramwharf.cells.entry_directory import EntryDirectory
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.owner_link import OwnerLink, answer_job_call
 from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
 from marjoramwharf.cells.place import EntryPlace
-from marjoramwharf.cells.records import OWNERS_PREFIX, CellId, OwnerRecord
+from marjoramwharf.cells.records import OWNERS_PREFIX, CellId, EntryRecord
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.errors import BadSettings
 from marjoramwharf.ids import Incarnation, random_id
@@ -30,8 +31,15 @@
     HttpServer,
     open_listener,
 )
-from marjoramwharf.links.peer_messages import PeerIdentity
+from marjoramwharf.links.peer_messages import Message, PeerIdentity
 from marjoramwharf.links.peer_server import PeerServer
+from marjoramwharf.links.relayed_store import RelayedStore
+from marjoramwharf.links.store_reach import StoreReach
+from marjoramwharf.links.store_relay import (
+    STORE_METHOD,
+    StoreRelay,
+    answer_store_call,
+)
 from marjoramwharf.links.thrift_types.peer import ttypes
 from marjoramwharf.log_output import BoundedOutput
 from marjoramwharf.logs import configure_logs, part_logger
@@ -62,6 +70,10 @@
 # lost answer delays a start or a submission by this much.
 _STORE_TIMEOUT_S = 0.6
 _RENEWAL_TIMEOUT_S = 0.7
+
+# An instance that does not answer at all is given up earlier than one that
+# answers slowly.
+_CONNECT_TIMEOUT_S = 0.3
 _OWNER_TIMEOUT_S = 0.3
 
 # The owner's lease: short, since nothing starts between two owners.
@@ -84,13 +96,17 @@
 _STOP_MARGIN_S = 1.0
 
 
+def _client() -> LeanClient:
+    return LeanClient(connect_timeout_s=_CONNECT_TIMEOUT_S)
+
+
 @dataclass(slots=True)
 class Entry:
     """The parts of the process, wired."""
 
     place: EntryPlace
     secret: str = field(default_factory=random_id)
-    client: LeanClient = field(default_factory=LeanClient)
+    client: LeanClient = field(default_factory=_client)
     view: OwnerView = field(default_factory=OwnerView)
     config: ConfigKeeper = field(
         default_factory=partial(
@@ -103,7 +119,9 @@
     counters: CellCounters = field(default_factory=CellCounters)
     cell: Cell | None = None
     is_stopping: bool = False
-    store: KvStore = field(init=False)
+    store: RelayedStore = field(init=False)
+    relay: StoreRelay = field(init=False)
+    directory: EntryDirectory = field(init=False)
     front: HttpServer = field(init=False)
     campaign: Campaign = field(init=False)
     owner_link: OwnerLink = field(init=False)
@@ -111,12 +129,24 @@
     def __post_init__(self) -> None:
         """Wire the parts."""
         place = self.place
-        address = place.store_address
-        self.store = KvStore(
-            self.client,
-            address,
-            timeout_s=_STORE_TIMEOUT_S,
+        record = EntryRecord(
+            entry_id=place.entry_id,
+            host=place.host,
+            port=place.peer_ports[0],
+            secret=self.secret,
+        )
+        reach = StoreReach()
+        self.relay = StoreRelay(
+            lambda: self.directory.known,
+            self.identity,
+            reach,
         )
+        self.store = RelayedStore(
+            self._direct_store(self.client, _STORE_TIMEOUT_S),
+            self.relay,
+            reach,
+        )
+        self.directory = EntryDirectory(self.store, record)
         self.owner_link = OwnerLink(
             view=self.view,
             cell=_CELL,
@@ -124,19 +154,15 @@
             timeout_s=_OWNER_TIMEOUT_S,
         )
         self.campaign = Campaign(
-            store=KvStore(
-                LeanClient(connect_timeout_s=_RENEWAL_TIMEOUT_S),
-                address,
-                timeout_s=_RENEWAL_TIMEOUT_S,
+            store=RelayedStore(
+                self._direct_store(_client(), _RENEWAL_TIMEOUT_S),
+                self.relay,
+                reach,
+                self.store.relay_reach,
             ),
             view=self.view,
             cell=_CELL,
-            record=OwnerRecord(
-                entry_id=place.entry_id,
-                host=place.host,
-                port=place.peer_ports[0],
-                secret=self.secret,
-            ),
+            record=record,
             ttl_ms=max(_OWNER_TTL_MS, place.rates.shortest_ttl_ms),
             cpu_share=place.cpu_share,
             run_cell=self.run_cell,
@@ -146,6 +172,7 @@
             _CELL,
             self.owner_link,
             self.owned_cell,
+            lambda: self.store.is_reachable,
             self.counters,
         )
         handler = Front(intake, lambda: self.config.current)
@@ -166,7 +193,11 @@
 
     def is_ready(self) -> bool:
         """Whether this entry takes callers."""
-        return self.config.current is not None and not self.is_stopping
+        return (
+            self.config.current is not None
+            and not self.is_stopping
+            and self.store.is_reachable
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -184,6 +215,9 @@
                 self.view.apply,
                 _OWNERS_WAIT_MS,
             )
+            nursery.start_soon(self.store.run_probe)
+            nursery.start_soon(self.relay.run)
+            nursery.start_soon(self.directory.run)
             nursery.start_soon(self.owner_link.run)
             nursery.start_soon(self.campaign.run)
             await self._listen(nursery)
@@ -228,6 +262,22 @@
         finally:
             self.cell = None
 
+    async def _answer_peer(
+        self,
+        sender: PeerIdentity,
+        call: Message,
+    ) -> Message:
+        if call.method == STORE_METHOD:
+            return await answer_store_call(
+                self.store.direct,
+                self.store.reach,
+                call,
+            )
+        return await answer_job_call(self.owned_cell, sender, call)
+
+    def _direct_store(self, client: LeanClient, timeout_s: float) -> KvStore:
+        return KvStore(client, self.place.store_address, timeout_s=timeout_s)
+
     def _advice(self) -> PlatformAdviceCalls | None:
         address = self.place.advice_address
         return PlatformAdviceCalls(self.client, address) if address else None
@@ -246,7 +296,7 @@
             nursery.start_soon(ready.serve, listener)
         await self._listen_for_metrics(nursery)
         peers = PeerServer(
-            {ttypes.JobCall: partial(answer_job_call, self.owned_cell)},
+            {ttypes.JobCall: self._answer_peer},
             identity=self.identity,
             secret=self.secret,
         )
--- /dev/null
+++ b/tests/cells/test_entry_directory.py
@@ -0,0 +1,67 @@
+"""What an entry knows of the others."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from marjoramwharf.cells.entry_directory import EntryDirectory
+from marjoramwharf.cells.records import EntryRecord
+from standins.polling_store import PollingMemoryStore
+from tests.cells.world import run_with_clock
+
+
+def _directory(store: PollingMemoryStore, name: str) -> EntryDirectory:
+    return EntryDirectory(store, EntryRecord(name, name, 1, f'of {name}'))
+
+
+class EntryDirectoryTests(unittest.TestCase):
+    """Guards against an entry that knows no peer when it needs one."""
+
+    def test_entries_find_each_other(self) -> None:
+        """Guards against entries that start together and miss each other."""
+        run_with_clock(self._find)
+
+    def test_store_outage(self) -> None:
+        """Guards against peers that are forgotten when they are needed."""
+        run_with_clock(self._outage)
+
+    def test_many_entries(self) -> None:
+        """Guards against a reading that grows with the number of entries."""
+        run_with_clock(self._many)
+
+    async def _find(self) -> None:
+        store = PollingMemoryStore()
+        directories = [_directory(store, name) for name in ('e1', 'e2')]
+        async with trio.open_nursery() as nursery:
+            for directory in directories:
+                nursery.start_soon(directory.run)
+            await trio.sleep(2)
+            for directory in directories:
+                known = {peer.entry_id for peer in directory.known}
+                self.assertEqual({'e1', 'e2'}, known)
+            nursery.cancel_scope.cancel()
+
+    async def _outage(self) -> None:
+        store = PollingMemoryStore()
+        directory = _directory(store, 'e1')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(directory.run)
+            await trio.sleep(2)
+            store.is_down = True
+            await trio.sleep(30)
+            self.assertTrue(directory.known)
+            store.is_down = False
+            await trio.sleep(11)
+            self.assertTrue(store.state.below('mw/entry/'))
+            nursery.cancel_scope.cancel()
+
+    async def _many(self) -> None:
+        store = PollingMemoryStore()
+        async with trio.open_nursery() as nursery:
+            for number in range(300):
+                nursery.start_soon(_directory(store, f'e{number}').run)
+            await trio.sleep(0.5)
+            self.assertLessEqual(len(store.state.below('mw/entry/')), 64)
+            nursery.cancel_scope.cancel()
--- a/tests/cells/test_intake.py
+++ b/tests/cells/test_intake.py
@@ -28,7 +28,13 @@
 from marjoramwharf.platform.front import Front
 from marjoramwharf.scheduling.job_state import JobPhase
 from standins.polling_store import PollingMemoryStore
-from tests.cells.world import CELL, World, run_with_clock
+from tests.cells.world import (
+    CELL,
+    World,
+    job_request,
+    open_world,
+    run_with_clock,
+)
 
 _ID = JobId('5c0e7a21d94b36f8')
 _PATH = f'/recipes/{_ID}'
@@ -39,6 +45,7 @@
 class _Entry:
     store: PollingMemoryStore
     front: Front
+    intake: Intake
 
     async def ask(
         self,
@@ -78,9 +85,14 @@
     yield _Entry(
         store,
         Front(intake, lambda: world.configuration if configured else None),
+        intake,
     )
 
 
+def _never() -> bool:
+    return False
+
+
 def _read(reply: HttpReply) -> Any:
     return json.loads(reply.body)
 
@@ -108,6 +120,14 @@
         """Guards against "not run" where the job may still be stored."""
         run_with_clock(self._unanswered_submission)
 
+    def test_store_out_of_reach(self) -> None:
+        """Guards against callers that are held by an entry that is cut off."""
+        run_with_clock(self._store_out_of_reach)
+
+    def test_repeat_while_store_is_away(self) -> None:
+        """Guards against "not accepted" of a job that was accepted before."""
+        run_with_clock(self._repeat_while_store_is_away)
+
     def test_state_without_owner(self) -> None:
         """Guards against a wrong state while the owner is away."""
         run_with_clock(self._state_without_owner)
@@ -162,6 +182,34 @@
             reply = await entry.ask('POST', body=_BODY)
             self.assertEqual(504, reply.status)
 
+    async def _store_out_of_reach(self) -> None:
+        async with _entry() as entry:
+            entry.intake.is_reachable = _never
+            before = entry.store.commits_count
+            began_s = trio.current_time()
+            reply = await entry.ask('POST', body=_BODY)
+            self.assertEqual(503, reply.status)
+            self.assertIn('Retry-After', dict(reply.headers))
+            # A job that may have been stored is given up as unknown.
+            self.assertEqual(before, entry.store.commits_count)
+            seen = iter((True, False))
+            entry.intake.is_reachable = lambda: next(seen)
+            entry.store.commits_to_delay = 1_000
+            reply = await entry.ask('POST', body=_BODY)
+            self.assertEqual(504, reply.status)
+            self.assertLess(trio.current_time() - began_s, 0.2)
+
+    async def _repeat_while_store_is_away(self) -> None:
+        async with _entry() as entry, open_world() as (world, nursery):
+            owner = world.spawn(nursery, 'e1')
+            request = job_request(_ID)
+            await world.submit(request)
+            await world.until(lambda: world.state(request) is not None)
+            entry.intake.local = lambda: owner.cell
+            entry.intake.is_reachable = _never
+            reply = await entry.ask('POST', body=_BODY)
+            self.assertEqual(200, reply.status)
+
     async def _state_without_owner(self) -> None:
         async with _entry() as entry:
             await entry.ask('POST', body=_BODY)
--- a/tests/cells/world.py
+++ b/tests/cells/world.py
@@ -18,7 +18,7 @@
 from marjoramwharf.cells.records import (
     OWNERS_PREFIX,
     CellId,
-    OwnerRecord,
+    EntryRecord,
     cancel_key,
     encode,
     request_key,
@@ -160,7 +160,7 @@
             store=self.store,
             view=owner.view,
             cell=CELL,
-            record=OwnerRecord(name, name, 1, f'secret of {name}'),
+            record=EntryRecord(name, name, 1, f'secret of {name}'),
             ttl_ms=TTL_MS,
             cpu_share=1,
             run_cell=partial(self._run_cell, owner),
--- a/tests/links/test_http.py
+++ b/tests/links/test_http.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 
 import trio
 
@@ -60,6 +61,10 @@
         """Guards against an unsent request that counts as unknown."""
         trio.run(self._nothing_listens)
 
+    def test_no_answer_to_a_connect(self) -> None:
+        """Guards against a call that was never sent and counts as unknown."""
+        trio.run(self._no_answer_to_a_connect)
+
     def test_drain(self) -> None:
         """Guards against a request that is cut by a planned stop."""
         trio.run(self._drain)
@@ -109,6 +114,24 @@
             )
         self.assertTrue(is_refused(caught.exception))
 
+    async def _no_answer_to_a_connect(self) -> None:
+        """Connect to a listener whose queue of connections is full."""
+        with socket.socket() as full:
+            full.bind(('127.0.0.1', 0))
+            full.listen(0)
+            address = full.getsockname()
+            with ExitStack() as stack:
+                for _ in range(3):
+                    waiting = stack.enter_context(socket.socket())
+                    waiting.setblocking(False)
+                    waiting.connect_ex(address)
+                with self.assertRaises(NotConnected):
+                    await LeanClient().request(
+                        'GET',
+                        f'http://127.0.0.1:{address[1]}/',
+                        timeout_s=0.2,
+                    )
+
     async def _drain(self) -> None:
         client = LeanClient()
         answers: list[bytes] = []
--- a/tests/programs/test_cells.py
+++ b/tests/programs/test_cells.py
@@ -8,7 +8,7 @@
 
 from marjoramwharf.cells.records import (
     CellId,
-    OwnerRecord,
+    EntryRecord,
     ProgressRecord,
     RunRecord,
     TaskRecord,
@@ -40,7 +40,7 @@
         first, second = job_request('a'), job_request('b')
         task = TaskRecord(0, 0, 0, runs=(RunRecord(1, 'w1', 5),))
         running = ProgressRecord(JobPhase.OPEN, tasks=(task,))
-        owner = OwnerRecord('e1', '10.0.0.1', 7_720, 'secret')
+        owner = EntryRecord('e1', '10.0.0.1', 7_720, 'secret')
         await store.commit(
             [],
             [
