--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -6,29 +6,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
 
-from marjoramwharf.cells.advice import AdviceCalls, TicketBook
+from marjoramwharf.cells.advice import TicketBook
+from marjoramwharf.cells.cell_terms import CellParts, Mandate
 from marjoramwharf.cells.clocks import boot_s, wall_ms
-from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.decision_log import log_end, log_finished, log_plan
 from marjoramwharf.cells.forgetting import forget_finished
 from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.link_parts import LinkTerms
-from marjoramwharf.cells.place import Bounds
+from marjoramwharf.cells.model_keeper import ModelKeeper
 from marjoramwharf.cells.progress_writer import ProgressWriter
-from marjoramwharf.cells.records import CellId, inbox_prefix
+from marjoramwharf.cells.records import inbox_prefix
 from marjoramwharf.cells.run_mover import RunMover
 from marjoramwharf.cells.signals import Signal
 from marjoramwharf.cells.status import ShownState
-from marjoramwharf.cells.worker_board import ListingDecoder, WorkerBoard
-from marjoramwharf.cells.worker_messages import WorkerCalls
+from marjoramwharf.cells.worker_board import WorkerBoard
 from marjoramwharf.ids import JobId, TaskId, WorkerId
 from marjoramwharf.links.follower import Follower
-from marjoramwharf.links.store import Guard, PollingStore
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_book import JobBook, job_of
@@ -42,7 +39,7 @@
 from marjoramwharf.scheduling.fleet import WorkerState
 from marjoramwharf.scheduling.ordering import queue_of
 from marjoramwharf.scheduling.planner import Planner
-from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
+from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest
 
 _LOG = part_logger('cell')
@@ -66,43 +63,6 @@
     JobPhase.FAILED: ShownState.FAILED,
 }
 
-ConfigurationSource = Callable[[], Configuration | None]
-
-
-@dataclass(frozen=True, slots=True)
-class CellParts:
-    """What a cell needs of the process around it.
-
-    ``decode_listing`` raises ``BadListing`` for an entry that names no worker.
-    ``hold_ms`` is the length of the leases of runs.
-    """
-
-    store: PollingStore
-    calls: WorkerCalls
-    configuration: ConfigurationSource
-    workers_prefix: str
-    decode_listing: ListingDecoder
-    bounds: Bounds
-    hold_ms: int
-    counters: CellCounters = field(default_factory=CellCounters)
-    advice: AdviceCalls | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Mandate:
-    """What lets an entry act as the owner of a cell.
-
-    ``guard`` is the condition of every write, and its revision the fence of
-    every order. ``is_current`` tells whether runs may still be started, and
-    ``may_extend`` whether leases of runs may still be extended.
-    """
-
-    cell: CellId
-    guard: Guard
-    is_current: Callable[[], bool]
-    may_extend: Callable[[], bool]
-    give_up: Callable[[], None]
-
 
 @dataclass(slots=True, eq=False)
 class Cell:
@@ -122,6 +82,7 @@
     _tickets: TicketBook = field(init=False)
     _mover: RunMover = field(init=False)
     _inbox: Inbox = field(init=False)
+    _model_keeper: ModelKeeper = field(init=False)
 
     def __post_init__(self) -> None:
         """Wire the parts that work on this cell's state."""
@@ -158,6 +119,12 @@
             on_cancelled=self._stop_surplus,
             on_change=self._wake,
         )
+        self._model_keeper = ModelKeeper(
+            parts.store,
+            mandate.cell,
+            mandate.guard,
+            self._model,
+        )
         self._tickets = TicketBook(
             calls=parts.advice,
             book=self.book,
@@ -184,6 +151,7 @@
         store = self.parts.store
         began_s = boot_s()
         await self._inbox.load(store)
+        await self._model_keeper.load()
         self.is_loaded = True
         _LOG.info(
             'cell loaded',
@@ -206,6 +174,7 @@
             nursery.start_soon(self._run_planner)
             nursery.start_soon(self._run_upkeep)
             nursery.start_soon(self._tickets.run)
+            nursery.start_soon(self._model_keeper.run)
 
     async def hand_over(self) -> None:
         """Stop starting runs and store what has changed."""
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -15,6 +15,7 @@
 
 from marjoramwharf.errors import JournalDamaged
 from marjoramwharf.ids import JobId, WorkerId
+from marjoramwharf.scheduling.interference import KnownWeight
 from marjoramwharf.scheduling.job_state import (
     Job,
     JobPhase,
@@ -63,6 +64,12 @@
     runs: tuple[RunRecord, ...] = ()
 
 
+class ModelRecord(Struct, frozen=True, array_like=True):
+    """What the owner has learned of interference between images."""
+
+    weights: tuple[KnownWeight, ...] = ()
+
+
 class ProgressRecord(Struct, frozen=True, array_like=True):
     """How far a job has come."""
 
@@ -98,6 +105,11 @@
     return f'{inbox_prefix(cell)}cancel/{job_id}'
 
 
+def model_key(cell: CellId) -> str:
+    """Key of what the owner has learned."""
+    return f'mw/{cell}/model'
+
+
 def progress_prefix(cell: CellId) -> str:
     """Prefix of the progress of all jobs of a cell."""
     return f'mw/{cell}/run/'
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -13,7 +13,8 @@
 
 import trio
 
-from marjoramwharf.cells.cell import Cell, CellParts, Mandate
+from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.cell_terms import CellParts, Mandate
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.config_keeper import ConfigKeeper
 from marjoramwharf.cells.entry_directory import EntryDirectory
--- a/src/marjoramwharf/scheduling/headroom.py
+++ b/src/marjoramwharf/scheduling/headroom.py
@@ -43,9 +43,6 @@
 # A loss of headroom below this spoils nothing.
 _LEAST_LOSS = 0.03
 
-# Part of a job's worth that doesn't depend on its size.
-_FIXED_WORTH = 0.3
-
 
 @dataclass(frozen=True, slots=True)
 class ExpectedHeadroom:
@@ -158,11 +155,15 @@
     before: float,
     usual_cpu: float,
 ) -> float:
-    """Return the part of a usual job that more spoilt tasks cost."""
+    """Return the part of a usual job that more spoilt tasks cost.
+
+    A large job meets disturbance on more workers, so it counts more than in
+    proportion to its size.
+    """
     per_task = _HARM_WEIGHT / step.request.count
     lost = min(1, (before + more) * per_task) - min(1, before * per_task)
     size = step.request.count * step.request.cpu_millicores / usual_cpu
-    return lost * (_FIXED_WORTH + (1 - _FIXED_WORTH) * size)
+    return lost * size * max(1, size)
 
 
 def _expected_headrooms(
--- a/src/marjoramwharf/scheduling/interference.py
+++ b/src/marjoramwharf/scheduling/interference.py
@@ -23,6 +23,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from msgspec import Struct
+
 # Headroom that a whole worker of filling work is expected to take before
 # anything was observed, and the variance of that.
 _PRIOR_WEIGHT = 3.5
@@ -31,6 +33,9 @@
 # Added to the variance of a weight by each reading, since it changes.
 _DRIFT_VARIANCE = 0.02
 
+# Added to the variance of a weight that an earlier owner has learned.
+_AGED_VARIANCE = 0.3
+
 # Below this headroom a tail no longer shows how much disturbs it, only that
 # it is at least so much.
 _SATURATED_HEADROOM = 0.2
@@ -50,6 +55,15 @@
     variance: float = _PRIOR_VARIANCE
 
 
+class KnownWeight(Struct, frozen=True, array_like=True):
+    """A learned weight of a pair of images, as it is stored."""
+
+    serving: str
+    filling: str
+    mean: float
+    variance: float
+
+
 @dataclass(frozen=True, slots=True)
 class Loss:
     """Headroom that a serving task is expected to lose, and its variance."""
@@ -64,6 +78,21 @@
 
     _weights: dict[str, dict[str, _Weight]] = field(default_factory=dict)
 
+    def known_weights(self) -> tuple[KnownWeight, ...]:
+        """Return what was learned, for a later owner."""
+        return tuple(
+            KnownWeight(serving, filling, weight.mean, weight.variance)
+            for serving, weights in self._weights.items()
+            for filling, weight in weights.items()
+        )
+
+    def restore(self, found: Iterable[KnownWeight]) -> None:
+        """Start from what an earlier owner has learned."""
+        for known in found:
+            weights = self._weights.setdefault(known.serving, {})
+            variance = min(known.variance + _AGED_VARIANCE, _PRIOR_VARIANCE)
+            weights[known.filling] = _Weight(known.mean, variance)
+
     def weight(self, filling: str, serving: str) -> float:
         """Return the headroom that a whole worker of ``filling`` takes."""
         known = self._weights.get(serving, {}).get(filling)
--- a/tests/cells/world.py
+++ b/tests/cells/world.py
@@ -11,7 +11,8 @@
 import trio
 from trio.testing import MockClock
 
-from marjoramwharf.cells.cell import Cell, CellParts, Mandate
+from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.cell_terms import CellParts, Mandate
 from marjoramwharf.cells.clocks import boot_s, replaced_clocks
 from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
 from marjoramwharf.cells.place import Bounds
