Collect changes that nothing waits for into one call to the store

Change: plans and the ends of jobs are urgent; other changes wait up to 0.15 s for company. The watch of the workers collects changes for 0.25 s.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -44,6 +44,9 @@
 
 _LOG = part_logger('cell')
 
+# Every worker writes its entry again and again, which wakes the watch.
+_HEARTBEATS_S = 0.25
+
 _PLAN_PERIOD_S = 0.25
 _UPKEEP_PERIOD_S = 0.5
 
@@ -165,7 +168,12 @@
             inbox_prefix(self.mandate.cell),
             self._inbox.apply,
         )
-        workers = Follower(store, self.board.prefix, self.board.apply)
+        workers = Follower(
+            store,
+            self.board.prefix,
+            self.board.apply,
+            collecting_s=_HEARTBEATS_S,
+        )
         async with trio.open_nursery() as nursery:
             self.board.attach(nursery)
             nursery.start_soon(self._writer.run)
--- a/src/marjoramwharf/cells/progress_writer.py
+++ b/src/marjoramwharf/cells/progress_writer.py
@@ -49,6 +49,10 @@
 # store from delaying every job by several answers.
 _COMMITS_COUNT = 3
 
+# Changes that nothing waits for are collected for so long, so that one call
+# takes many of them.
+_COLLECTING_S = 0.15
+
 _FIRST_PAUSE_S = 0.05
 _LONGEST_PAUSE_S = 0.5
 
@@ -83,6 +87,7 @@
     _in_flight: set[JobId] = field(default_factory=set)
     _unanswered: dict[JobId, list[_Snapshot]] = field(default_factory=dict)
     _signal: Signal = field(default_factory=Signal)
+    _collected_s: float = 0
 
     def wake(self) -> None:
         """Note that the book has unstored jobs."""
@@ -97,6 +102,8 @@
     async def flush(self) -> None:
         """Return when all changes up to now are stored."""
         while self.book.unstored:
+            for job in self.book.unstored.values():
+                job.is_urgent = True
             self.wake()
             await trio.sleep(0.01)
 
@@ -105,7 +112,7 @@
         while True:
             group = self._take()
             if not group:
-                await self._signal.wait(timeout_s=_LONGEST_PAUSE_S)
+                await self._signal.wait(timeout_s=_COLLECTING_S)
                 continue
             self._signal.set()
             names = {snapshot.job.job_id for snapshot in group}
@@ -120,13 +127,19 @@
                 pauses.reset()
 
     def _take(self) -> list[_Snapshot]:
-        chosen: list[_Snapshot] = []
-        for job_id, job in self.book.unstored.items():
-            if job_id not in self._in_flight:
-                chosen.append(_snapshot(job))
-            if len(chosen) == _JOBS_PER_COMMIT:
-                break
-        return chosen
+        """Return what goes into the next call, urgent changes first."""
+        waiting = [
+            job
+            for job_id, job in self.book.unstored.items()
+            if job_id not in self._in_flight
+        ]
+        now_s = trio.current_time()
+        has_urgent = any(job.is_urgent for job in waiting)
+        if not has_urgent and now_s - self._collected_s < _COLLECTING_S:
+            return []
+        self._collected_s = now_s
+        waiting.sort(key=lambda job: not job.is_urgent)
+        return [_snapshot(job) for job in waiting[:_JOBS_PER_COMMIT]]
 
     async def _commit(self, group: Sequence[_Snapshot]) -> bool:
         """Write a group; tell whether that failed for now."""
@@ -140,13 +153,13 @@
         try:
             outcome = await self.store.commit(guards, writes)
         except StoreAnswerLost as lost:
-            self._note_failure(lost)
+            self._note_failure(lost, group)
             for unanswered in group:
                 job_id = unanswered.job.job_id
                 self._unanswered.setdefault(job_id, []).append(unanswered)
             return True
         except Failure as failure:
-            self._note_failure(failure)
+            self._note_failure(failure, group)
             return True
         if isinstance(outcome, Conflict):
             self._resolve(group, outcome)
@@ -156,7 +169,13 @@
         self._note_stored(group, outcome)
         return False
 
-    def _note_failure(self, failure: Failure) -> None:
+    def _note_failure(
+        self,
+        failure: Failure,
+        group: Sequence[_Snapshot],
+    ) -> None:
+        for snapshot in group:
+            snapshot.job.is_urgent = True
         if not self.is_failing:
             _LOG.warning('write failed', error=str(failure))
         self.is_failing = True
@@ -219,4 +238,5 @@
 
 
 def _snapshot(job: Job) -> _Snapshot:
+    job.is_urgent = False
     return _Snapshot(job, job.version, job.phase, encode(progress_of(job)))
--- a/src/marjoramwharf/links/follower.py
+++ b/src/marjoramwharf/links/follower.py
@@ -30,15 +30,15 @@
     """One prefix and what is done with its changes.
 
     ``wait_ms`` bounds the time for which a connection that went silent stays
-    unnoticed. ``fresh_s`` is the time at which the latest answered call was
-    sent, ``None`` before the first.
+    unnoticed. Changes are collected for ``collecting_s`` before the next call,
+    where many writers would cause a call for each change.
     """
 
     store: PollingStore
     prefix: str
     apply: Apply
     wait_ms: int = 1_000
-    fresh_s: float | None = None
+    collecting_s: float = 0
     _revision: int | None = None
 
     async def run(self) -> None:
@@ -73,7 +73,6 @@
 
     async def step(self) -> None:
         """Make one call and apply what it returns."""
-        sent_s = trio.current_time()
         if self._revision is None:
             batch = await self._read()
         else:
@@ -82,10 +81,10 @@
                 after_revision=self._revision,
                 wait_ms=self.wait_ms,
             )
-        self.fresh_s = sent_s
         if batch.events or batch.restarted:
             await self.apply(batch)
         self._revision = batch.revision
+        await trio.sleep(self.collecting_s)
 
     async def _read(self) -> WatchBatch:
         reading = await self.store.read_prefix(self.prefix)
--- a/src/marjoramwharf/scheduling/job_book.py
+++ b/src/marjoramwharf/scheduling/job_book.py
@@ -34,7 +34,8 @@
 class JobBook:
     """Jobs by id, with the tasks that may start now.
 
-    ``ready`` keeps the order in which tasks became ready.
+    ``ready`` keeps the order in which tasks became ready. A plan and the end
+    of a job are urgent to store, since an order or a caller waits for them.
     """
 
     jobs: dict[JobId, Job] = field(default_factory=dict)
@@ -106,7 +107,7 @@
         task.last_run = max(task.last_run, number)
         self.ready.pop(task.name, None)
         job = job_of(task)
-        self._changed(job)
+        self._changed(job, is_urgent=True)
         run.planned_version = job.version
         return run
 
@@ -266,7 +267,7 @@
         for task in job.tasks():
             self.ready.pop(task.name, None)
         self._drop_ended(job)
-        self._changed(job)
+        self._changed(job, is_urgent=True)
 
     def _refresh(self, occurrence: Occurrence, now_s: float) -> None:
         """Add the tasks of an occurrence that may start to ``ready``."""
@@ -285,8 +286,8 @@
                 task.ready_since_s = now_s
                 self.ready[task.name] = task
 
-    def _changed(self, job: Job) -> None:
-        job.touch()
+    def _changed(self, job: Job, *, is_urgent: bool = False) -> None:
+        job.touch(is_urgent=is_urgent)
         self.unstored[job.job_id] = job
 
 
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -190,7 +190,8 @@
 
     ``version`` grows with each change that has to be stored, and
     ``stored_version`` is the latest one that is. ``shown_phase`` is the state
-    of the job in the store, which is what callers are told.
+    of the job in the store, which is what callers are told. A change
+    ``is_urgent`` if something waits until it is stored.
     """
 
     request: JobRequest
@@ -201,6 +202,7 @@
     version: int = 0
     stored_version: int = 0
     stored_revision: int = 0
+    is_urgent: bool = False
     has_begun: bool = False
     finished_s: float = 0
     learned_s: float = 0
@@ -215,9 +217,10 @@
         """Whether tasks of the job may still start."""
         return self.phase is JobPhase.OPEN
 
-    def touch(self) -> None:
+    def touch(self, *, is_urgent: bool) -> None:
         """Note a change that has to be stored."""
         self.version += 1
+        self.is_urgent = self.is_urgent or is_urgent
 
     def open_occurrence(self, number: int) -> Occurrence:
         """Create the steps and tasks of one occurrence."""
--- a/standins/run_worker.py
+++ b/standins/run_worker.py
@@ -1,8 +1,9 @@
 """State of a stand-in worker that runs tasks under leases and fences.
 
-A task's payload says what it does: ``ms=150`` runs for 150 ms, ``fail`` ends
-as failed after that time, and ``hang`` makes no progress. The present time is
-an argument; the worker's own clock is that time less its birth.
+A task's payload says what it does: ``ms=150`` runs for 150 ms, with
+``more=20`` each task of a step for 20 ms more than the one before, ``fail``
+ends as failed after that time, and ``hang`` makes no progress. The present
+time is an argument; the worker's own clock is that time less its birth.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
 _MS_PER_S = 1_000
 _FULL_PERCENT = 100
 _DURATION = re.compile(r'ms=(\d+)')
+_INCREASE = re.compile(r'more=(\d+)')
 _DEFAULT_MS = 100
 
 
@@ -96,13 +98,12 @@
             return OrderAnswer(OrderOutcome.RUN_TOO_OLD, clock_ms)
         if len(self.running) >= self.capacity:
             return OrderAnswer(OrderOutcome.NO_ROOM, clock_ms)
-        found = _DURATION.search(order.payload)
         self.running[order.task] = _Run(
             order.task,
             order.run,
             order.payload,
             now_s,
-            float(found.group(1)) if found else _DEFAULT_MS,
+            _duration_ms(order),
         )
         self.starts.append((order.task, order.run, order.fence))
         self.start_times.append((order.task, now_s))
@@ -197,3 +198,14 @@
 
     def _raise_floor(self, task: TaskId, number: int) -> None:
         self._floor[task] = max(self._floor.get(task, 0), number)
+
+
+def _duration_ms(order: StartOrder) -> float:
+    """Return how long a task runs at full pace."""
+    found = _DURATION.search(order.payload)
+    duration_ms = float(found.group(1)) if found else _DEFAULT_MS
+    increase = _INCREASE.search(order.payload)
+    if increase is None:
+        return duration_ms
+    index = int(order.task.rpartition('.')[2])
+    return duration_ms + index * float(increase.group(1))
--- a/tests/cells/test_cell.py
+++ b/tests/cells/test_cell.py
@@ -47,6 +47,34 @@
         """Guards against an occurrence that starts before it is due."""
         run_with_clock(self._occurrences)
 
+    def test_calls_to_the_store(self) -> None:
+        """Guards against a call to the store for each task that ends."""
+        run_with_clock(self._calls_to_the_store)
+
+    async def _calls_to_the_store(self) -> None:
+        """Run 8 jobs of one step, whose 48 tasks end at different times."""
+        async with open_world() as (world, nursery):
+            world.spawn(nursery, 'e1')
+            requests = [
+                job_request(
+                    str(number),
+                    step(6, cpu_millicores=100),
+                    payload=f'ms={least_ms} more=20',
+                )
+                for number, least_ms in enumerate(range(300, 460, 20))
+            ]
+            for request in requests:
+                await world.submit(request)
+            before = world.store.commits_count
+            await world.until(
+                lambda: all(
+                    world.state(request) is ShownState.DONE
+                    for request in requests
+                ),
+            )
+            # One call for four tasks, start and end.
+            self.assertLess(world.store.commits_count - before, 12)
+
     async def _steps_in_order(self) -> None:
         async with open_world() as (world, nursery):
             world.spawn(nursery, 'e1')
