Draw ports that no other process can take, and notice children that end

Waiting for a child ends with its log once it has ended, and a child finds the modules of its parent without PYTHONPATH.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -14,13 +14,13 @@
 import trio
 
 from tools.deployments import Deployment
-from tools.processes import Process, free_ports
+from tools.ports import free_ports
+from tools.processes import Process
 
 OPERATOR_TOKEN = 'local-operator-token'
 _PEER_SECRET = 'local-peer-secret-0001'
 _START_TIMEOUT_S = 45
 _HOST = '127.0.0.1'
-_LOG_TAIL_CHARS = 600
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,15 +47,6 @@
     data_centre: str
 
 
-class ProcessExited(Exception):
-    """A process of the fleet exited before it answered requests."""
-
-    def __init__(self, process: Process) -> None:
-        """Quote the last 600 characters of the process's log."""
-        tail = process.log_path.read_text()[-_LOG_TAIL_CHARS:]
-        super().__init__(f'{process.name} ended: {tail}')
-
-
 class Fleet:
     """Starts and stops the processes of one run and holds their endpoints."""
 
@@ -200,8 +191,7 @@
         process = self.processes[name]
         with trio.fail_after(_START_TIMEOUT_S):
             while not await _is_serving(http, url):
-                if not process.is_running:
-                    raise ProcessExited(process)
+                process.raise_if_ended()
                 await trio.sleep(0.05)
 
     def _start_process(self, name: str, *arguments: str) -> None:
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -31,7 +31,8 @@
     SETTINGS_VARIABLE,
     entry_settings,
 )
-from tools.processes import Process, free_ports
+from tools.ports import free_ports
+from tools.processes import Process
 
 _ENTRIES_COUNT = 3
 _WORKERS_COUNT = 4
@@ -75,7 +76,8 @@
     def start(self, stack: ExitStack) -> None:
         """Start all processes; they are killed when ``stack`` is closed."""
         ports = free_ports(4)
-        self.store_port = _find_port_range(_WORKERS_COUNT + 1)
+        # The ports of the workers follow that of the store.
+        self.store_port = free_ports(_WORKERS_COUNT + 1)[0]
         self.platform = Process(
             'platform',
             (
@@ -129,9 +131,13 @@
         return entry
 
     async def _wait_until_ready(self) -> None:
+        """Wait for all entries; raises ``ProcessExited`` if one has ended."""
         with trio.fail_after(_TIME_LIMIT_S):
-            for queue_url in self.queue_urls:
+            for entry, queue_url in zip(
+                self.entries, self.queue_urls, strict=True
+            ):
                 while not await self._is_ready(queue_url):
+                    entry.raise_if_ended()
                     await trio.sleep(0.1)
 
     async def _is_ready(self, queue_url: str) -> bool:
@@ -206,17 +212,6 @@
         ]
 
 
-def _find_port_range(count: int) -> int:
-    """Return a port from which on ``count`` port numbers exist.
-
-    Only the first of them is known to be free.
-    """
-    while True:
-        first_port = free_ports(1)[0]
-        if first_port + count < 65_536:
-            return first_port
-
-
 async def run_demo() -> DemoReport:
     """Run the demonstration in a temporary folder."""
     with ExitStack() as stack:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -5,28 +5,20 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 _KB_BYTES = 1_024
+_LOG_TAIL_CHARS = 600
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 # Index of ``utime`` after the name in /proc/PID/stat; ``stime`` follows it.
 _USER_TICKS_FIELD = 11
 
 
-def free_ports(count: int) -> list[int]:
-    """Return distinct TCP ports that are free on the loopback interface now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for unbound in sockets:
-            unbound.bind(('127.0.0.1', 0))
-        return [bound.getsockname()[1] for bound in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+class ProcessExited(Exception):
+    """A child process exited before it answered requests."""
 
 
 @dataclass(slots=True)
@@ -52,7 +44,12 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
-                env={**os.environ, **self.environment},
+                env={
+                    **os.environ,
+                    # The child finds the modules that this process finds.
+                    'PYTHONPATH': os.pathsep.join(sys.path),
+                    **self.environment,
+                },
             )
 
     def send(self, signal_number: signal.Signals) -> None:
@@ -71,6 +68,12 @@
         """Whether the process has not ended."""
         return self.popen.poll() is None
 
+    def raise_if_ended(self) -> None:
+        """Raise ``ProcessExited``, with the end of the log, once it ended."""
+        if not self.is_running:
+            tail = self.log_path.read_text()[-_LOG_TAIL_CHARS:]
+            raise ProcessExited(f'{self.name} ended: {tail}')
+
     def mark_cpu(self) -> None:
         """Record the processor time that ``cpu_since_mark_s`` counts from."""
         self._cpu_mark_s = self.cpu_s()
