Judge a worker's answers by when they were made, not by when they are processed

Cause: an owner that stood still, or whose answers were delayed by more than a second, took a report made before as one of a restarted worker (its clock was behind the estimate), ended the runs that this report didn't list yet and started them elsewhere; the lease granted before was forgotten too. The same pattern stood in three other places: orders updated the clock without knowing which incarnation answered, hung and slow runs were judged by the time of processing, and a start order could leave by a right that had run out.

Change: the start time of the worker decides where both are known, else its clock is compared with the time at which the poll was sent; only polls read the clock; a report has the time at which it was made, by the worker's clock; the right to start is checked right before the lease in the order is granted, also for stops and paces; a new owner assumes the longest lease at a worker that it polls for the first time, and its wait for workers that it never reached is the sum of what can be proved (lease of the former owner, time it goes on extending leases, longest lease by the slowest clock: 10.1 s in place of 11.7 s for leases of 6.5 s). A run is ended as missing only if all ends were listed. An unexpected error in one worker's link affects only that worker. WorkerLink is split (end_acknowledgements, report_processor).

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -24,6 +24,7 @@
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.records import inbox_prefix
 from marjoramwharf.cells.run_mover import RunMover
+from marjoramwharf.cells.worker_clock import MIN_CLOCK_RATE
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.ids import JobId, TaskId, WorkerId
 from marjoramwharf.links.prefix_watcher import PrefixWatcher
@@ -56,12 +57,8 @@
 _PAUSE_FACTOR = 1.0
 _MS_PER_S = 1_000
 
-# A former owner may extend leases of runs for this long after its replacement:
-# until its own lease lapses, plus a margin.
-FORMER_OWNER_SLACK_S = 5.0
-
-# A worker's clock may run slow, so a lease may last this many times longer.
-_SLOW_CLOCK_FACTOR = 1.03
+# Covers the error of a former owner's estimate of a worker's clock.
+_FORMER_LEASE_MARGIN_S = 0.3
 
 _FINAL_STATES = {
     JobPhase.DONE: PublicJobState.DONE,
@@ -77,7 +74,6 @@
     context: CellContext
     is_loaded: bool = False
     is_stopping: bool = False
-    acquired_s: float = field(default_factory=boot_s)
     job_table: JobTable = field(default_factory=JobTable)
     worker_registry: WorkerRegistry = field(init=False)
     _model: InterferenceModel = field(default_factory=InterferenceModel)
@@ -103,6 +99,7 @@
                 worker_client=context.worker_client,
                 fence=ownership.guard.mod_revision,
                 hold_ms=context.hold_ms,
+                max_hold_ms=context.bounds.max_hold_ms,
                 stop_ms=context.bounds.stop_ms,
                 counters=context.counters,
             ),
@@ -228,6 +225,10 @@
         """Return a run that has not ended, by its task and number."""
         return self.job_table.find_run(task, number)
 
+    def may_start_runs(self) -> bool:
+        """Whether this entry may still send orders to start runs."""
+        return self.ownership.is_current()
+
     def may_extend_leases(self) -> bool:
         """Whether this entry may still extend the leases of runs."""
         return self.ownership.may_extend_leases()
@@ -236,12 +237,12 @@
         """Give up the cell, since a worker has seen a higher fence."""
         self.ownership.give_up()
 
-    def on_run_started(self, run: Run) -> None:
-        """Record that a worker has started a run."""
+    def on_run_started(self, run: Run, *, started_s: float) -> None:
+        """Record that a worker has started a run, at about ``started_s``."""
         if run.started_s is None:
-            waited_s = boot_s() - run.task.ready_since_s
+            waited_s = started_s - run.task.ready_since_s
             self.context.counters.wait_samples_s.append(waited_s)
-        self.job_table.mark_started(run, now_s=boot_s())
+        self.job_table.mark_started(run, started_s=started_s, now_s=boot_s())
         self._progress_writer.wake()
 
     def end_run(self, run: Run, how: RunEnd, checkpoint: str) -> Job:
@@ -366,11 +367,13 @@
     def _end_runs_of_unreached_workers(self) -> None:
         """End runs of a former owner at workers that never answered a poll.
 
-        Their leases have lapsed by then, so the runs can't be at work.
+        A former owner that doesn't know of this one may have extended their
+        leases until its own right to do so ended. After the longest lease from
+        then on, by the slowest clock, they can't be at work.
         """
-        max_lease_s = self.context.hold_ms / _MS_PER_S
-        max_lease_s *= _SLOW_CLOCK_FACTOR
-        if boot_s() < self.acquired_s + max_lease_s + FORMER_OWNER_SLACK_S:
+        lease_s = self.context.hold_ms / _MS_PER_S / MIN_CLOCK_RATE
+        lapsed_s = self.ownership.former_owner_until_s + lease_s
+        if boot_s() < lapsed_s + _FORMER_LEASE_MARGIN_S:
             return
         for run in tuple(self.job_table.live_runs()):
             is_unreached = self.worker_registry.was_never_polled(run.worker_id)
--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -44,11 +44,14 @@
     ``guard`` is the condition of every write to the store, and its revision
     the fence of every order to a worker. ``is_current`` tells whether runs may
     still be started, and ``may_extend_leases`` whether the leases of runs may
-    still be extended. ``give_up`` ends the ownership.
+    still be extended. A former owner that hasn't noticed this one may extend
+    them until ``former_owner_until_s`` of the boot clock. ``give_up`` ends the
+    ownership.
     """
 
     cell: CellId
     guard: Guard
     is_current: Callable[[], bool]
     may_extend_leases: Callable[[], bool]
+    former_owner_until_s: float
     give_up: Callable[[], None]
--- a/src/marjoramwharf/cells/link_context.py
+++ b/src/marjoramwharf/cells/link_context.py
@@ -14,8 +14,8 @@
 class LinkOwner(Protocol):
     """What a worker link calls of the cell that owns it."""
 
-    def on_run_started(self, run: Run) -> None:
-        """Record that a worker has started a run."""
+    def on_run_started(self, run: Run, *, started_s: float) -> None:
+        """Record that a worker has started a run, at about ``started_s``."""
 
     def end_run(self, run: Run, how: RunEnd, checkpoint: str) -> Job:
         """Record the end of a run; returns the job that has to be stored."""
@@ -29,6 +29,9 @@
     def on_polled(self, worker_id: WorkerId) -> None:
         """React to a poll whose report has been processed."""
 
+    def may_start_runs(self) -> bool:
+        """Whether this entry may still send orders to start runs."""
+
     def may_extend_leases(self) -> bool:
         """Whether this entry may still extend the leases of runs."""
 
@@ -37,12 +40,14 @@
 class LinkContext:
     """Client, fence and limits that all worker links of a cell share.
 
-    ``hold_ms`` is the length of the leases of runs. ``stop_ms`` is the longest
-    time that a worker takes to stop a run.
+    ``hold_ms`` is the length of the leases of runs, which is the same at all
+    entries, and ``max_hold_ms`` the longest one that a worker grants.
+    ``stop_ms`` is the longest time that a worker takes to stop a run.
     """
 
     worker_client: WorkerClient
     fence: int
     hold_ms: int
+    max_hold_ms: int
     stop_ms: int
     counters: CellCounters = field(default_factory=CellCounters)
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -106,15 +106,16 @@
 class Tenure:
     """One period of ownership of a cell.
 
-    ``valid_until_s`` is a time of the boot clock. Before it the lease can't
-    have lapsed, so no other entry can have taken the record. Cancelling
-    ``scope`` ends the tenure.
+    The record was known to be written at ``acquired_s``. Before
+    ``valid_until_s`` the lease can't have lapsed. Both are times of the boot
+    clock. Cancelling ``scope`` ends the tenure.
     """
 
     cell: CellId
     lease: LeaseId
     revision: int
     valid_until_s: float
+    acquired_s: float
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -227,7 +228,7 @@
         if revision is None:
             return None
         valid_until_s = sent_s + self.ttl_ms / _MS_PER_S
-        return Tenure(self.cell, lease, revision, valid_until_s)
+        return Tenure(self.cell, lease, revision, valid_until_s, boot_s())
 
     async def _find_own_record(self, key: str) -> int | None:
         """Return the revision of the owner record if it equals this entry's."""
--- a/src/marjoramwharf/cells/worker_messages.py
+++ b/src/marjoramwharf/cells/worker_messages.py
@@ -97,7 +97,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderAnswer:
-    """Outcome of an order, and the time of the worker's own clock."""
+    """Outcome of an order, and the time of the worker's own clock.
+
+    The answer doesn't tell which incarnation of the worker gave it.
+    """
 
     outcome: OrderOutcome
     clock_ms: int | None = None
@@ -131,11 +134,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldReport:
-    """All runs of a worker, and the ends that are not acknowledged yet."""
+    """All runs of a worker, and the ends that are not acknowledged yet.
+
+    ``clock_ms`` is set if the hold was accepted. ``born_ms`` is 0 if the worker
+    did not say which incarnation it is. A worker that ``has_all_ends`` listed
+    has no further end to report.
+    """
 
     outcome: OrderOutcome
-    clock_ms: int | None = None
+    clock_ms: int = 0
     born_ms: int = 0
+    has_all_ends: bool = True
     running: Sequence[RunReport] = ()
     ended: Sequence[EndReport] = ()
 
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -17,6 +17,7 @@
     StopOrder,
     WorkerAddress,
 )
+from marjoramwharf.ids import TaskId
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
@@ -73,7 +74,8 @@
             return
         run.phase = RunPhase.ORDERED
         for _ in range(_START_ATTEMPTS_COUNT):
-            answer = await self._send_start(run)
+            sent_s = boot_s()
+            answer = await self._send_start(run, sent_s)
             if run.phase is not RunPhase.ORDERED:
                 return
             if answer.outcome is not OrderOutcome.UNKNOWN:
@@ -81,7 +83,9 @@
             run.is_start_unconfirmed = True
         self.context.counters.starts[answer.outcome] += 1
         if answer.outcome in _STARTED_OUTCOMES:
-            self.owner.on_run_started(run)
+            self.owner.on_run_started(
+                run, started_s=self._answered_s(answer, sent_s)
+            )
         elif answer.outcome is OrderOutcome.FENCED:
             self.owner.on_superseded()
         else:
@@ -97,12 +101,7 @@
         run.phase = RunPhase.STOPPING
         order = StopOrder(run.task.name, run.number, self.context.fence)
         while self.owner.find_run(run.task.name, run.number) is run:
-            answer = await self.context.worker_client.stop(
-                self.address,
-                order,
-                timeout_s=_ORDER_TIMEOUT_S,
-            )
-            self._update_clock(answer)
+            answer = await self._send_stop(order)
             if answer.outcome is OrderOutcome.FENCED:
                 self.owner.on_superseded()
                 return
@@ -111,8 +110,14 @@
                 return
             await trio.sleep(_STOP_RETRY_PAUSE_S)
 
+    async def stop_unknown(self, task: TaskId, number: int) -> None:
+        """Send the stop order of a run that the cell doesn't have, once."""
+        await self._send_stop(StopOrder(task, number, self.context.fence))
+
     async def pace(self, run: Run, percent: int) -> None:
         """Send a pace order once; it sets a share of the run's full speed."""
+        if not self.owner.may_extend_leases():
+            return
         self.context.counters.pace_orders_count += 1
         order = PaceOrder(
             run.task.name, run.number, percent, self.context.fence
@@ -127,12 +132,19 @@
             # next poll decides again.
             run.pace_percent = 100
 
-    async def _send_start(self, run: Run) -> OrderAnswer:
-        now_s = boot_s()
+    async def _send_start(self, run: Run, now_s: float) -> OrderAnswer:
+        """Send the order, with a lease that ends at a known time.
+
+        This process may stand still at any point. The right to send is
+        therefore checked right before the lease is granted: an order that
+        leaves later carries that lease and is refused once it has ended.
+        """
+        if not self.owner.may_start_runs():
+            return OrderAnswer(OrderOutcome.NOT_SENT)
         expires_ms = self.clock.grant_lease(self.context.hold_ms, now_s=now_s)
         if expires_ms is None:
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        answer = await self.context.worker_client.start(
+        return await self.context.worker_client.start(
             self.address,
             StartOrder(
                 task=run.task.name,
@@ -145,8 +157,14 @@
             ),
             timeout_s=_ORDER_TIMEOUT_S,
         )
-        self._update_clock(answer)
-        return answer
+
+    async def _send_stop(self, order: StopOrder) -> OrderAnswer:
+        if not self.owner.may_extend_leases():
+            await trio.lowlevel.checkpoint()
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        return await self.context.worker_client.stop(
+            self.address, order, timeout_s=_ORDER_TIMEOUT_S
+        )
 
     async def _handle_refusal(self, run: Run, outcome: OrderOutcome) -> None:
         """Block the worker for a while, and end the run or stop it first."""
@@ -167,6 +185,9 @@
         else:
             self.owner.end_run(run, RunEnd.VANISHED, '')
 
-    def _update_clock(self, answer: OrderAnswer) -> None:
-        if answer.clock_ms is not None and self.clock.reading_ms is not None:
-            self.clock.update(answer.clock_ms, now_s=boot_s())
+    def _answered_s(self, answer: OrderAnswer, sent_s: float) -> float:
+        """Return about when the worker answered an order."""
+        now_s = boot_s()
+        if answer.clock_ms is None:
+            return now_s
+        return self.clock.time_of(answer.clock_ms, sent_s=sent_s, now_s=now_s)
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -12,6 +12,7 @@
 from marjoramwharf.cells.worker_link import WorkerLink
 from marjoramwharf.errors import Failure
 from marjoramwharf.ids import WorkerId
+from marjoramwharf.isolation import run_isolated
 from marjoramwharf.links.store import StoreEvent, WatchBatch
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import (
@@ -86,19 +87,23 @@
         link = self.links.get(run.worker_id)
         if link is None or self._nursery is None:
             return False
-        self._nursery.start_soon(link.orders.start, run)
+        self._nursery.start_soon(
+            run_isolated, 'start order', link.orders.start, run
+        )
         return True
 
     def stop(self, run: Run) -> None:
         """Send the stop order of a run if its worker is known."""
         link = self.links.get(run.worker_id)
         if link is not None and self._nursery is not None:
-            self._nursery.start_soon(link.orders.stop, run)
+            self._nursery.start_soon(
+                run_isolated, 'stop order', link.orders.stop, run
+            )
 
     def acknowledge_stored_ends(self) -> None:
         """Acknowledge the ends of runs that are stored by now."""
         for link in self.links.values():
-            link.acknowledge_stored_ends()
+            link.acknowledgements.acknowledge_stored()
 
     def release(self, run: Run, how: RunEnd, *, now_s: float) -> None:
         """Free the resources of a run that has ended and learn from its end."""
@@ -120,7 +125,7 @@
         if controller is None or link is None or self._nursery is None:
             return
         now_s = boot_s()
-        self._learners[worker_id].learn(now_s=now_s)
+        self._learners[worker_id].learn(now_s=link.worker.reported_at_s)
         for run, percent in controller.decide(now_s=now_s).items():
             _LOG.info(
                 'pace',
@@ -131,7 +136,9 @@
             )
             run.pace_percent = percent
             run.pace_changed_s = now_s
-            self._nursery.start_soon(link.orders.pace, run, percent)
+            self._nursery.start_soon(
+                run_isolated, 'pace order', link.orders.pace, run, percent
+            )
         link.is_urgent = controller.needs_early_poll()
 
     def was_never_polled(self, worker_id: WorkerId) -> bool:
--- a/src/marjoramwharf/platform/worker_client.py
+++ b/src/marjoramwharf/platform/worker_client.py
@@ -35,6 +35,9 @@
 _INCARNATION_HEADER = 'X-Marjoramwharf-Target-Instance'
 _CONFLICT = 409
 
+# A worker lists at most this many ends at a time.
+_MAX_LISTED_ENDS = 500
+
 _OUTCOME_BY_STATUS = {
     200: OrderOutcome.ACCEPTED,
     400: OrderOutcome.BAD_ORDER,
@@ -204,7 +207,7 @@
             return HoldReport(answer)
         if not answer.is_success:
             refusal = _to_order_answer(answer)
-            return HoldReport(refusal.outcome, refusal.clock_ms)
+            return HoldReport(refusal.outcome)
         try:
             return _to_hold_report(decode_json(answer.body, _HoldReply))
         except DecodeError as failure:
@@ -275,6 +278,7 @@
         outcome=OrderOutcome.ACCEPTED,
         clock_ms=reply.clock_ms,
         born_ms=reply.born,
+        has_all_ends=len(reply.ended) < _MAX_LISTED_ENDS,
         running=[
             RunReport(
                 task=TaskId(row.task),
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -244,6 +244,7 @@
                 may_extend_leases=lambda: tenure.is_current(
                     boot_s() - _HOLD_AFTER_EXPIRY_S,
                 ),
+                former_owner_until_s=self._former_owner_until_s(tenure),
                 give_up=tenure.scope.cancel,
             ),
             context=CellContext(
@@ -267,6 +268,15 @@
         finally:
             self.cell = None
 
+    def _former_owner_until_s(self, tenure: Tenure) -> float:
+        """Return until when a former owner may extend leases of runs.
+
+        The store may have taken its record away before its lease lapsed, and
+        another entry may have replaced it, without its knowledge.
+        """
+        ttl_s = self.campaign.ttl_ms / _MS_PER_S
+        return tenure.acquired_s + ttl_s + _HOLD_AFTER_EXPIRY_S
+
     async def _answer_peer(
         self,
         sender: PeerIdentity,
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -79,7 +79,7 @@
     """A worker and the runs that reserve its capacity.
 
     ``is_reachable`` tells whether the latest poll of the worker was answered,
-    ``polled_at_s`` when one was answered last, and ``born_ms`` which
+    ``reported_at_s`` when its latest report was made, and ``born_ms`` which
     incarnation answered (0: none yet). No run is placed there before
     ``blocked_until_s``, and preferably none before ``suspect_until_s``.
     ``failure_weight`` and ``success_weight`` are the numbers of runs that
@@ -99,7 +99,7 @@
     success_weight: float = 0
     outcome_recorded_at_s: float = 0
     leaves_at_s: float = 0
-    polled_at_s: float = 0
+    reported_at_s: float = 0
     reserved_millicores: int = 0
     reserved_memory_mb: int = 0
     reserved_accelerators_count: int = 0
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -73,7 +73,8 @@
 
     ``percent`` is the progress that the worker reports, ``resumed_percent``
     the first one reported, ``progressed_s`` the time at which it last changed,
-    and ``progress_read_s`` that at which it was last read. ``pace_percent`` is
+    and ``progress_read_s`` that of the latest report. The run began at about
+    ``started_s``, which was known at ``confirmed_s``. ``pace_percent`` is
     the share of its full speed at which the run may work, last changed at
     ``pace_changed_s``. ``reading`` is the tail latency of a serving task in
     ms, the CPU in use by any other in millicores, and 0 if none was reported.
@@ -89,6 +90,7 @@
     phase: RunPhase
     planned_s: float
     started_s: float | None = None
+    confirmed_s: float | None = None
     percent: int = 0
     resumed_percent: int = 0
     progressed_s: float = 0
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -112,13 +112,14 @@
         run.planned_version = job.version
         return run
 
-    def mark_started(self, run: Run, *, now_s: float) -> None:
-        """Record that a worker has begun a run."""
+    def mark_started(self, run: Run, *, started_s: float, now_s: float) -> None:
+        """Record that a worker has begun a run, at about ``started_s``."""
         if run.phase in {RunPhase.ORDERED, RunPhase.UNCERTAIN}:
             run.phase = RunPhase.RUNNING
         if run.started_s is None:
-            run.started_s = now_s
-            run.progressed_s = now_s
+            run.started_s = started_s
+            run.confirmed_s = now_s
+            run.progressed_s = started_s
         run.task.has_begun = True
         job = job_of(run.task)
         if not job.has_begun:
--- a/src/marjoramwharf/scheduling/run_moves.py
+++ b/src/marjoramwharf/scheduling/run_moves.py
@@ -83,10 +83,10 @@
 def _move_reason(run: Run, worker: Worker, now_s: float) -> MoveReason | None:
     if worker.listing.state is WorkerState.DRAINING:
         return MoveReason.LEAVING if _must_leave(run, worker, now_s) else None
-    # Progress is as old as the latest poll, so it is compared with that time.
-    if _is_hung(run, worker.polled_at_s):
+    # Progress is as old as the latest report, so it is compared with that time.
+    if _is_hung(run, worker.reported_at_s):
         return MoveReason.HUNG
-    if _is_slow(run, worker.polled_at_s):
+    if _is_slow(run, worker.reported_at_s):
         return MoveReason.SLOW
     return None
 
@@ -101,23 +101,23 @@
     return not run.step.has_checkpoints or left_s < _LEAVE_MARGIN_S
 
 
-def _is_hung(run: Run, polled_s: float) -> bool:
+def _is_hung(run: Run, reported_s: float) -> bool:
     """Whether a run at full speed has made no progress for too long."""
     if run.percent >= _FULL_PERCENT or run.pace_percent < _FULL_PERCENT:
         return False
-    stalled_s = polled_s - max(run.progressed_s, run.pace_changed_s)
+    stalled_s = reported_s - max(run.progressed_s, run.pace_changed_s)
     if run.step.is_lasting:
         return stalled_s > _HUNG_START_S
     return stalled_s > _HUNG_S
 
 
-def _is_slow(run: Run, polled_s: float) -> bool:
+def _is_slow(run: Run, reported_s: float) -> bool:
     """Whether a run is much slower than the others of its step."""
     step = run.step
     was_paced = run.pace_changed_s or run.pace_percent < _FULL_PERCENT
     if step.is_lasting or was_paced or run.started_s is None:
         return False
-    if polled_s - run.started_s < _SLOW_MIN_ELAPSED_S:
+    if reported_s - run.started_s < _SLOW_MIN_ELAPSED_S:
         return False
     rates = _progress_rates(run.task.step)
     if len(rates) < _SLOW_MIN_RATES_COUNT:
@@ -126,7 +126,7 @@
         return False
     may_restart = step.has_checkpoints or run.percent < _MAX_RESTART_PERCENT
     return (
-        expected_remaining_s(run, polled_s) > _SLOW_MIN_REMAINING_S
+        expected_remaining_s(run, reported_s) > _SLOW_MIN_REMAINING_S
         and may_restart
     )
 
--- a/standins/simulated_worker.py
+++ b/standins/simulated_worker.py
@@ -139,7 +139,7 @@
         self.advance(now_s)
         clock_ms = self.clock_ms(now_s)
         if not self._accept_fence(order.fence):
-            return HoldReport(OrderOutcome.FENCED, clock_ms)
+            return HoldReport(OrderOutcome.FENCED)
         if order.expires_ms is not None:
             self._extend_lease(order.expires_ms, clock_ms)
         self._remove_acknowledged(order.acknowledged_end)
--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -36,7 +36,9 @@
     ``start_answers_to_lose`` starts and ``hold_answers_to_lose`` holds are
     carried out without an answer; the next ``starts_to_repeat`` starts are
     carried out twice, as by a client that sends a call again. The next
-    ``starts_to_delay`` starts wait in ``delayed_orders`` for a test's call.
+    ``starts_to_delay`` starts wait in ``delayed_orders`` for a test's call. The
+    answers to the next holds take ``hold_answer_delays_s`` longer than usual.
+    ``holds_count`` is the number of holds that were answered.
     """
 
     workers: dict[WorkerId, SimulatedWorker]
@@ -45,6 +47,8 @@
     starts_to_repeat: int = 0
     hold_answers_to_lose: int = 0
     starts_to_delay: int = 0
+    holds_count: int = 0
+    hold_answer_delays_s: list[float] = field(default_factory=list)
     delayed_orders: list[Callable[[], OrderAnswer]] = field(
         default_factory=list
     )
@@ -118,6 +122,19 @@
         timeout_s: float,
     ) -> HoldReport:
         """Extend leases; report at a run's end or after ``wait_ms``."""
+        sent_s = trio.current_time()
+        report = await self._wait_for_report(worker, order, timeout_s)
+        if report.outcome is OrderOutcome.ACCEPTED and (
+            self.hold_answer_delays_s
+        ):
+            await trio.sleep(self.hold_answer_delays_s.pop(0))
+            if trio.current_time() - sent_s > timeout_s:
+                return HoldReport(OrderOutcome.UNKNOWN)
+        return report
+
+    async def _wait_for_report(
+        self, worker: WorkerAddress, order: HoldOrder, timeout_s: float
+    ) -> HoldReport:
         deadline_s = trio.current_time() + order.wait_ms / _MS_PER_S
         while True:
             send_hold = partial(self._hold, worker.worker_id, order)
@@ -136,6 +153,7 @@
         return self._worker(worker_id).start(order, trio.current_time())
 
     def _hold(self, worker_id: WorkerId, order: HoldOrder) -> HoldReport:
+        self.holds_count += 1
         return self._worker(worker_id).hold(order, trio.current_time())
 
     def _worker(self, worker_id: WorkerId) -> SimulatedWorker:
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -32,6 +32,11 @@
 from marjoramwharf.scheduling.fleet import Resources, WorkerListing, WorkerState
 from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
+from standins.frozen_process import (
+    FreezableStore,
+    FreezableWorkerClient,
+    FreezeGate,
+)
 from standins.polling_store import PollingMemoryStore
 from standins.simulated_worker import SimulatedWorker
 from standins.simulated_worker_client import MemoryWorkerClient
@@ -41,6 +46,7 @@
 QUEUE = 'recipes'
 TTL_MS = 2_000
 HOLD_MS = 6_500
+HOLD_AFTER_EXPIRY_S = 1.2
 
 
 def run_with_clock(test: Callable[[], Awaitable[None]]) -> None:
@@ -80,12 +86,16 @@
 
 @dataclass
 class Candidate:
-    """A process that competes for the cell; cancelling ``scope`` kills it."""
+    """A process that competes for the cell.
+
+    Cancelling ``scope`` kills it; ``gate`` lets it stand still for a while.
+    """
 
     view: OwnerView = field(default_factory=OwnerView)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     cell: Cell | None = None
     campaign: Campaign | None = None
+    gate: FreezeGate = field(default_factory=FreezeGate)
 
 
 @dataclass
@@ -158,7 +168,7 @@
         """Start the process of an entry that competes for the cell."""
         candidate = Candidate()
         candidate.campaign = Campaign(
-            store=self.store,
+            store=FreezableStore(self.store, candidate.gate),
             view=candidate.view,
             cell=CELL,
             record=EntryRecord(name, name, 1, f'secret of {name}'),
@@ -208,6 +218,12 @@
             for task, _, _ in worker.starts
         )
 
+    def starts_with_fences(self) -> list[tuple[TaskId, int, int]]:
+        """Return the task, run and fence of each start, over all workers."""
+        return [
+            start for worker in self.workers.values() for start in worker.starts
+        ]
+
     async def _store(self, key: str, body: bytes) -> None:
         stored = self.store.state.stored.get(key)
         revision = 0 if stored is None else stored.mod_revision
@@ -217,7 +233,7 @@
         with candidate.scope:
             async with trio.open_nursery() as nursery:
                 follower = PrefixWatcher(
-                    self.store,
+                    FreezableStore(self.store, candidate.gate),
                     OWNERS_PREFIX,
                     candidate.view.apply,
                 )
@@ -231,12 +247,19 @@
                 cell=CELL,
                 guard=tenure.guard,
                 is_current=lambda: tenure.is_current(boot_s()),
-                may_extend_leases=lambda: tenure.is_current(boot_s() - 1.2),
+                may_extend_leases=lambda: tenure.is_current(
+                    boot_s() - HOLD_AFTER_EXPIRY_S
+                ),
+                former_owner_until_s=tenure.acquired_s
+                + TTL_MS / 1_000
+                + HOLD_AFTER_EXPIRY_S,
                 give_up=tenure.scope.cancel,
             ),
             context=CellContext(
-                store=self.store,
-                worker_client=self.worker_client,
+                store=FreezableStore(self.store, candidate.gate),
+                worker_client=FreezableWorkerClient(
+                    self.worker_client, candidate.gate
+                ),
                 configuration=lambda: self.configuration,
                 workers_prefix='servers/',
                 decode_listing=self._decode_listing,
--- a/tests/scheduling/fixtures.py
+++ b/tests/scheduling/fixtures.py
@@ -100,7 +100,7 @@
         now_s=now_s,
     )
     run.phase = RunPhase.ORDERED
-    job_table.mark_started(run, now_s=now_s)
+    job_table.mark_started(run, started_s=now_s, now_s=now_s)
     worker.add(run)
     run.is_listed = True
     return run
--- a/tests/scheduling/test_pacing.py
+++ b/tests/scheduling/test_pacing.py
@@ -134,7 +134,7 @@
         """Start with one worker."""
         self.job_table = JobTable()
         self.worker = make_worker('w1')
-        self.worker.polled_at_s = 10
+        self.worker.reported_at_s = 10
 
     def test_hung_run(self) -> None:
         """Guards against a job that waits for a task that makes no progress."""
