Keep one malformed value or unexpected error from ending a cell or a process

Cause: a value in the store that can't be decoded (a request, progress, an owner or entry record, a listing), a malformed report or peer frame, and an unexpected error in any long-running task ended the tenure of the cell or the whole process; a listing that raised hid all listings after it, and the watch repeated it for ever. A write answered with an unknown status counted as not applied.

Change: each record, listing, event, connection, peer call, request and worker link is isolated; a job with damaged progress is left out, since what of it has run is not known; the tasks of an entry are started anew after an error; the cell itself is given up and taken anew, as its state may be inconsistent. A request whose handler failed gets 502, which doesn't say that it hasn't run. Only known statuses of a write say that it wasn't applied.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -27,6 +27,7 @@
 from marjoramwharf.cells.worker_clock import MIN_CLOCK_RATE
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.ids import JobId, TaskId, WorkerId
+from marjoramwharf.isolation import run_isolated, run_restarted
 from marjoramwharf.links.prefix_watcher import PrefixWatcher
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import WorkerState
@@ -180,8 +181,10 @@
             nursery.start_soon(workers.run)
             nursery.start_soon(self._run_planner)
             nursery.start_soon(self._run_maintenance)
-            nursery.start_soon(self._ticket_cache.run)
-            nursery.start_soon(self._model_saver.run)
+            nursery.start_soon(run_restarted, 'tickets', self._ticket_cache.run)
+            nursery.start_soon(
+                run_restarted, 'model saver', self._model_saver.run
+            )
 
     async def hand_over(self) -> None:
         """Stop starting runs, and return when all progress is stored."""
@@ -348,21 +351,24 @@
     async def _run_maintenance(self) -> None:
         while True:
             await trio.sleep(_MAINTENANCE_PERIOD_S)
-            self._end_runs_of_unreached_workers()
-            if not self.is_stopping and self.ownership.is_current():
-                self._run_mover.move_all(now_s=boot_s())
-            for job in tuple(self.job_table.jobs.values()):
-                if job.occurrences:
-                    self._stop_surplus_runs(job)
-            self.worker_registry.remove_gone_workers()
-            await remove_finished_jobs(
-                self.context.store,
-                self.ownership.cell,
-                self.ownership.guard,
-                self.job_table,
-                self._inbox,
-                retention_ms=self.context.bounds.status_ms,
-            )
+            await run_isolated('maintenance', self._maintain)
+
+    async def _maintain(self) -> None:
+        self._end_runs_of_unreached_workers()
+        if not self.is_stopping and self.ownership.is_current():
+            self._run_mover.move_all(now_s=boot_s())
+        for job in tuple(self.job_table.jobs.values()):
+            if job.occurrences:
+                self._stop_surplus_runs(job)
+        self.worker_registry.remove_gone_workers()
+        await remove_finished_jobs(
+            self.context.store,
+            self.ownership.cell,
+            self.ownership.guard,
+            self.job_table,
+            self._inbox,
+            retention_ms=self.context.bounds.status_ms,
+        )
 
     def _end_runs_of_unreached_workers(self) -> None:
         """End runs of a former owner at workers that never answered a poll.
--- a/src/marjoramwharf/cells/config_cache.py
+++ b/src/marjoramwharf/cells/config_cache.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from marjoramwharf.errors import Failure
+from marjoramwharf.isolation import log_unexpected
 from marjoramwharf.links.store import WatchBatch
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.policy import Configuration
@@ -28,13 +29,17 @@
     async def apply(self, batch: WatchBatch) -> None:
         """Apply watch events of the configuration's key."""
         for event in batch.events:
-            if event.key != self.key or event.stored is None:
-                continue
-            try:
-                configuration = self.decode(event.stored.body)
-            except Failure as failure:
-                _LOG.error('configuration not decoded', error=str(failure))
-                continue
+            if event.key == self.key and event.stored is not None:
+                self._apply_stored(event.stored.body)
+
+    def _apply_stored(self, body: bytes) -> None:
+        try:
+            configuration = self.decode(body)
+        except Failure as failure:
+            _LOG.error('configuration not decoded', error=str(failure))
+        except Exception:
+            log_unexpected('decoding the configuration')
+        else:
             self.update_if_newer(configuration)
 
     def update_if_newer(self, configuration: Configuration) -> None:
--- a/src/marjoramwharf/cells/entry_directory.py
+++ b/src/marjoramwharf/cells/entry_directory.py
@@ -20,9 +20,9 @@
     encode,
     entry_key,
 )
-from marjoramwharf.errors import Failure
+from marjoramwharf.errors import Failure, JournalDamaged
 from marjoramwharf.ids import LeaseId
-from marjoramwharf.links.store import PollingStore, Write
+from marjoramwharf.links.store import PollingStore, StoredValue, Write
 from marjoramwharf.links.store_relay import PeerAddress
 from marjoramwharf.logs import part_logger
 
@@ -84,13 +84,14 @@
         except Failure as failure:
             _LOG.info('entry records not read', error=str(failure))
             return
-        records = (
-            decode(stored.body, EntryRecord, key=stored.key)
-            for stored in result.found
-        )
-        self.peers = tuple(
-            PeerAddress(
-                record.entry_id, record.host, record.port, record.secret
-            )
-            for record in records
-        )
+        decoded = (_decode_peer(stored) for stored in result.found)
+        self.peers = tuple(peer for peer in decoded if peer is not None)
+
+
+def _decode_peer(stored: StoredValue) -> PeerAddress | None:
+    try:
+        record = decode(stored.body, EntryRecord, key=stored.key)
+    except JournalDamaged as failure:
+        _LOG.error('entry record ignored', error=str(failure))
+        return None
+    return PeerAddress(record.entry_id, record.host, record.port, record.secret)
--- a/src/marjoramwharf/cells/inbox.py
+++ b/src/marjoramwharf/cells/inbox.py
@@ -16,6 +16,7 @@
     request_key,
     restore_job,
 )
+from marjoramwharf.errors import JournalDamaged
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.store import PollingStore, StoredValue, WatchBatch
 from marjoramwharf.logs import part_logger
@@ -42,16 +43,21 @@
     on_change: Callable[[], None]
     # Also holds jobs whose request hasn't been read yet.
     _cancelled: set[JobId] = field(default_factory=set)
+    _damaged: set[JobId] = field(default_factory=set)
 
     async def load(self, store: PollingStore) -> None:
-        """Restore all jobs and their progress; raises store failures."""
+        """Restore all jobs and their progress; raises store failures.
+
+        A job whose progress can't be decoded is left out: what of it has run is
+        not known, so nothing of it may run.
+        """
         progress = await self._read_progress(store)
         found = (await store.read_prefix(inbox_prefix(self.cell))).found
         now_s = boot_s()
         now_ms = wall_ms()
         for stored in found:
             request = self._decode_request(stored)
-            if request is not None:
+            if request is not None and request.job_id not in self._damaged:
                 record, revision = progress.get(request.job_id, (None, 0))
                 job = restore_job(
                     request, record, revision=revision, now_s=now_s
@@ -69,7 +75,7 @@
             if event.stored is None:
                 continue
             request = self._decode_request(event.stored)
-            if request is not None:
+            if request is not None and request.job_id not in self._damaged:
                 self.job_table.add(request, now_s=now_s, now_ms=now_ms)
                 if request.job_id in self._cancelled:
                     self._cancel_job(request.job_id)
@@ -81,19 +87,32 @@
         self._cancelled.discard(job_id)
 
     async def _read_progress(self, store: PollingStore) -> _ProgressByJob:
+        """Return the progress by job; remember the jobs with a damaged one."""
         prefix = progress_prefix(self.cell)
         found: _ProgressByJob = {}
         for stored in (await store.read_prefix(prefix)).found:
-            record = decode(stored.body, ProgressRecord, key=stored.key)
             job_id = JobId(stored.key.removeprefix(prefix))
-            found[job_id] = (record, stored.mod_revision)
+            try:
+                record = decode(stored.body, ProgressRecord, key=stored.key)
+            except JournalDamaged as failure:
+                _LOG.error('job left out', job=job_id, error=str(failure))
+                self._damaged.add(job_id)
+            else:
+                found[job_id] = (record, stored.mod_revision)
         return found
 
     def _decode_request(self, stored: StoredValue) -> JobRequest | None:
-        """Decode a request; returns ``None`` if the key is of another kind."""
+        """Decode a request.
+
+        Returns ``None`` if the key is of another kind, or the value damaged.
+        """
         if not stored.key.startswith(request_key(self.cell, JobId(''))):
             return None
-        return decode(stored.body, JobRequest, key=stored.key)
+        try:
+            return decode(stored.body, JobRequest, key=stored.key)
+        except JournalDamaged as failure:
+            _LOG.error('request left out', error=str(failure))
+            return None
 
     def _apply_cancellation(self, key: str) -> None:
         prefix = cancel_key(self.cell, JobId(''))
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -15,19 +15,26 @@
 
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.records import (
-    OWNERS_PREFIX,
     CellId,
     EntryRecord,
     decode,
     encode,
     owner_key,
+    parse_owner_key,
+)
+from marjoramwharf.errors import (
+    Failure,
+    JournalDamaged,
+    NotOwner,
+    StoreAnswerLost,
 )
-from marjoramwharf.errors import Failure, NotOwner, StoreAnswerLost
 from marjoramwharf.ids import LeaseId
+from marjoramwharf.isolation import log_unexpected
 from marjoramwharf.links.store import (
     Committed,
     Guard,
     PollingStore,
+    StoreEvent,
     WatchBatch,
     Write,
 )
@@ -75,13 +82,10 @@
         if batch.restarted:
             self.owners.clear()
         for event in batch.events:
-            cell = CellId(int(event.key.removeprefix(OWNERS_PREFIX)))
-            self.ended_revisions.pop(cell, None)
-            if event.stored is None:
-                self.owners.pop(cell, None)
-                continue
-            record = decode(event.stored.body, EntryRecord, key=event.key)
-            self.owners[cell] = CurrentOwner(record, event.stored.mod_revision)
+            try:
+                self._apply_event(event)
+            except JournalDamaged as failure:
+                _LOG.error('owner record ignored', error=str(failure))
         self.is_loaded = True
         self._notify_waiters()
 
@@ -97,6 +101,16 @@
         """Wait for the next change of the owners."""
         await self._change_event.wait()
 
+    def _apply_event(self, event: StoreEvent) -> None:
+        """Apply one event; raises ``JournalDamaged``."""
+        cell = parse_owner_key(event.key)
+        self.ended_revisions.pop(cell, None)
+        if event.stored is None:
+            self.owners.pop(cell, None)
+            return
+        record = decode(event.stored.body, EntryRecord, key=event.key)
+        self.owners[cell] = CurrentOwner(record, event.stored.mod_revision)
+
     def _notify_waiters(self) -> None:
         self._change_event.set()
         self._change_event = trio.Event()
@@ -256,6 +270,9 @@
             _LOG.info('superseded', error=str(superseded_group.exceptions[0]))
         except* Failure as failed_group:
             _LOG.warning('cell failed', error=repr(failed_group.exceptions[0]))
+        except* Exception:
+            # The state of the cell may be inconsistent; the store has the truth.
+            log_unexpected(f'cell {self.cell}')
         finally:
             self.tenure = None
         _LOG.info('ownership ended', cell=self.cell, fence=tenure.revision)
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -85,6 +85,18 @@
     return f'{OWNERS_PREFIX}{cell}'
 
 
+def parse_owner_key(key: str) -> CellId:
+    """Return the cell of an owner's key; raises ``JournalDamaged``.
+
+    >>> parse_owner_key('mw/own/3')
+    3
+    """
+    number = key.removeprefix(OWNERS_PREFIX)
+    if not (number.isascii() and number.isdecimal()):
+        raise JournalDamaged(message=f'{key}: no number of a cell')
+    return CellId(int(number))
+
+
 def entry_key(slot: int) -> str:
     """Key of the leased record of an entry."""
     return f'{ENTRIES_PREFIX}{slot}'
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -12,7 +12,7 @@
 from marjoramwharf.cells.worker_link import WorkerLink
 from marjoramwharf.errors import Failure
 from marjoramwharf.ids import WorkerId
-from marjoramwharf.isolation import run_isolated
+from marjoramwharf.isolation import log_unexpected, run_isolated
 from marjoramwharf.links.store import StoreEvent, WatchBatch
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import (
@@ -70,12 +70,10 @@
         listed: set[WorkerId] = set()
         for event in batch.events:
             worker_id = WorkerId(event.key.removeprefix(self.prefix))
-            listing = self._decode_event(event)
-            if listing is None:
-                self._mark_gone(worker_id)
-            else:
+            if self._apply_event(event):
                 listed.add(worker_id)
-                self._apply_listing(listing)
+            else:
+                self._mark_gone(worker_id)
         if batch.restarted:
             for tracked_id in tuple(self.fleet.workers):
                 if tracked_id not in listed:
@@ -156,6 +154,21 @@
                 self._pace_controllers.pop(worker_id)
                 self._learners.pop(worker_id)
 
+    def _apply_event(self, event: StoreEvent) -> bool:
+        """Apply one event; return whether it lists a usable worker.
+
+        An error in one listing must not hide the other workers.
+        """
+        listing = self._decode_event(event)
+        if listing is None:
+            return False
+        try:
+            self._apply_listing(listing)
+        except Exception:
+            log_unexpected(f'listing {event.key}')
+            return False
+        return True
+
     def _decode_event(self, event: StoreEvent) -> WorkerListing | None:
         if event.stored is None:
             return None
--- a/src/marjoramwharf/isolation.py
+++ b/src/marjoramwharf/isolation.py
@@ -10,9 +10,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import trio
+
 from marjoramwharf.logs import part_logger
 
 _LOG = part_logger('main')
+_RESTART_PAUSE_S = 1.0
 
 
 async def run_isolated(
@@ -37,6 +40,16 @@
     return True
 
 
+async def run_restarted(
+    task: str,
+    call: Callable[..., Awaitable[object]],
+    *args: Any,
+) -> None:
+    """Run a call that never returns; start it anew after an error."""
+    while not await run_isolated(task, call, *args):
+        await trio.sleep(_RESTART_PAUSE_S)
+
+
 def log_unexpected(task: str) -> None:
     """Log the exception that is being handled, with its traceback."""
     _LOG.exception('unexpected error', task=task)
--- a/src/marjoramwharf/links/http_server.py
+++ b/src/marjoramwharf/links/http_server.py
@@ -17,6 +17,7 @@
 import h11
 import trio
 
+from marjoramwharf.isolation import log_unexpected, run_isolated
 from marjoramwharf.links.http_events import BodyTooLarge, read_body
 from marjoramwharf.logs import part_logger
 
@@ -27,6 +28,9 @@
 _STATUS_REQUEST_TIMEOUT = 408
 _STATUS_CONTENT_TOO_LARGE = 413
 
+# For an unexpected error, after which the request may have been carried out.
+_STATUS_OUTCOME_UNKNOWN = 502
+
 HeaderMap = Mapping[str, str]
 
 
@@ -87,10 +91,7 @@
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept connections until cancelled."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                stream = await listener.accept()
-                nursery.start_soon(self.serve_stream, stream)
+        await trio.serve_listeners(self.serve_stream, [listener])
 
     def drain(self) -> None:
         """Close idle connections now and active ones after their response."""
@@ -99,7 +100,10 @@
             scope.cancel()
 
     async def serve_stream(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection until it ends."""
+        """Serve one connection until it ends; an error ends only this one."""
+        await run_isolated('connection', self._serve_requests, stream)
+
+    async def _serve_requests(self, stream: trio.abc.Stream) -> None:
         protocol = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=self.limits.header_bytes,
@@ -129,13 +133,23 @@
             return False
         self.active_requests_count += 1
         try:
-            response = await self.handle(request)
+            response = await self._answer(request)
             await _send(stream, protocol, response, last=self.is_draining)
         finally:
             self.active_requests_count -= 1
         states = {protocol.our_state, protocol.their_state}
         return states == {h11.DONE} and not self.is_draining
 
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        """Return the handler's response; that of an error says nothing."""
+        try:
+            return await self.handle(request)
+        except (OSError, trio.BrokenResourceError):
+            raise
+        except Exception:
+            log_unexpected(f'request {request.target}')
+            return HttpResponse(_STATUS_OUTCOME_UNKNOWN)
+
     async def _read_request(
         self,
         stream: trio.abc.Stream,
--- a/src/marjoramwharf/links/peer_server.py
+++ b/src/marjoramwharf/links/peer_server.py
@@ -15,6 +15,7 @@
     PeerUnreachable,
 )
 from marjoramwharf.ids import random_id
+from marjoramwharf.isolation import log_unexpected, run_isolated
 from marjoramwharf.links.frames import MAX_FRAME_BYTES, FrameStream
 from marjoramwharf.links.peer_messages import (
     Message,
@@ -63,8 +64,12 @@
         """Serve one connection to its end, for ``trio.serve_listeners``.
 
         The handlers of one connection run concurrently, so that a slow job
-        call does not delay the renewal of grants.
+        call does not delay the renewal of grants. An error in one of them is
+        answered with a refusal, and any other error ends this connection only.
         """
+        await run_isolated('peer connection', self._serve_stream, stream)
+
+    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
         frames = FrameStream(stream)
         try:
             await self._serve_peer(frames)
@@ -164,3 +169,8 @@
                 return await handler(sender, message)
             except Failure as failure:
                 return make_refusal(failure)
+            except Exception:
+                log_unexpected(f'peer call {name}')
+                return make_refusal(
+                    PeerRefused(message=f'unexpected error in {name}'),
+                )
--- a/src/marjoramwharf/links/prefix_watcher.py
+++ b/src/marjoramwharf/links/prefix_watcher.py
@@ -14,6 +14,7 @@
 import trio
 
 from marjoramwharf.errors import Failure, HistoryLost
+from marjoramwharf.isolation import log_unexpected
 from marjoramwharf.links.backoff import Backoff
 from marjoramwharf.links.store import PollingStore, StoreEvent, WatchBatch
 from marjoramwharf.logs import part_logger
@@ -29,6 +30,8 @@
 class PrefixWatcher:
     """Passes the changes below a prefix to a handler.
 
+    The handler gets a batch again, as part of the whole prefix, if it raised an
+    unexpected error; it should isolate the events of a batch from each other.
     ``wait_ms`` is the longest wait of a poll; it bounds the time until a dead
     connection is noticed. ``batch_delay_s`` is the pause before the next poll,
     during which changes accumulate. Without it, many writers would cause one
@@ -41,6 +44,7 @@
     wait_ms: int = 1_000
     batch_delay_s: float = 0
     _revision: int | None = None
+    _is_failing: bool = False
 
     async def run(self) -> None:
         """Watch the prefix until cancelled."""
@@ -49,28 +53,11 @@
             max_s=_MAX_BACKOFF_S,
             rng=random.Random(),
         )
-        is_failing = False
         while True:
-            try:
-                await self.poll_once()
-            except HistoryLost:
-                _LOG.info('watch history lost', prefix=self.prefix)
-                self._revision = None
-                continue
-            except Failure as failure:
-                if not is_failing:
-                    _LOG.warning(
-                        'watch failed',
-                        prefix=self.prefix,
-                        error=str(failure),
-                    )
-                is_failing = True
+            if await self._try_poll():
+                backoff.reset()
+            else:
                 await trio.sleep(backoff.next_wait_s())
-                continue
-            if is_failing:
-                _LOG.info('watch is back', prefix=self.prefix)
-            is_failing = False
-            backoff.reset()
 
     async def poll_once(self) -> None:
         """Make one call and pass its changes to the handler."""
@@ -87,6 +74,33 @@
         self._revision = batch.revision
         await trio.sleep(self.batch_delay_s)
 
+    async def _try_poll(self) -> bool:
+        """Make one call; return whether it succeeded."""
+        try:
+            await self.poll_once()
+        except HistoryLost:
+            _LOG.info('watch history lost', prefix=self.prefix)
+            self._revision = None
+        except Failure as failure:
+            self._record_failure(failure)
+        except Exception:
+            log_unexpected(f'watch of {self.prefix}')
+            self._revision = None
+        else:
+            self._record_success()
+            return True
+        return False
+
+    def _record_failure(self, failure: Failure) -> None:
+        if not self._is_failing:
+            _LOG.warning('watch failed', prefix=self.prefix, error=str(failure))
+        self._is_failing = True
+
+    def _record_success(self) -> None:
+        if self._is_failing:
+            _LOG.info('watch is back', prefix=self.prefix)
+        self._is_failing = False
+
     async def _read_all(self) -> WatchBatch:
         snapshot = await self.store.read_prefix(self.prefix)
         events = tuple(
--- a/src/marjoramwharf/platform/kv_store.py
+++ b/src/marjoramwharf/platform/kv_store.py
@@ -41,11 +41,19 @@
 )
 
 _OK = 200
+_BAD_REQUEST = 400
+_FORBIDDEN = 403
 _NOT_FOUND = 404
 _GONE = 410
 _CONDITION_FAILED = 412
 _NOT_APPLIED_STATUSES = frozenset((429, 503))
 
+# Statuses of a write that say whether it was applied. After any other one, such
+# as that of a proxy, it may have been.
+_KNOWN_WRITE_STATUSES = frozenset(
+    (_OK, _BAD_REQUEST, _FORBIDDEN, _NOT_FOUND, _CONDITION_FAILED)
+)
+
 # Time that a watch call may take beyond the wait that it asks for.
 _WAIT_SLACK_S = 1.0
 
@@ -176,7 +184,7 @@
             return Conflict(tuple(_decode_item(item) for item in page.items))
         if answer.status == _NOT_FOUND:
             raise LeaseEnded(message='the lease of a write has ended')
-        return Committed(_decode_answer(answer, _CommitReply).revision)
+        return _decode_committed(answer)
 
     async def grant_lease(self, ttl_ms: int) -> LeaseId:
         """Create a lease that expires when it is not kept alive."""
@@ -259,6 +267,10 @@
         except CallFailed as failure:
             raise StoreAnswerLost(message=str(failure)) from failure
         _raise_if_not_applied(answer)
+        if answer.status not in _KNOWN_WRITE_STATUSES:
+            raise StoreAnswerLost(
+                message=f'the store answered {answer.status} to a write'
+            )
         return answer
 
 
@@ -290,6 +302,20 @@
         ) from failure
 
 
+def _decode_committed(answer: ClientResponse) -> Committed:
+    """Decode the answer of a commit that no condition has refused.
+
+    Raises ``StoreAnswerLost`` if the commit was applied at a revision that can't
+    be read, and ``StoreRefused`` if it was refused.
+    """
+    try:
+        return Committed(_decode_answer(answer, _CommitReply).revision)
+    except StoreRefused as failure:
+        if answer.status == _OK:
+            raise StoreAnswerLost(message=str(failure)) from failure
+        raise
+
+
 def _decode_item(item: _Item) -> StoredValue:
     try:
         body = b64decode(item.value, validate=True)
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -26,6 +26,7 @@
 from marjoramwharf.cells.records import OWNERS_PREFIX, CellId, EntryRecord
 from marjoramwharf.errors import BadSettings
 from marjoramwharf.ids import Incarnation, random_id
+from marjoramwharf.isolation import run_restarted
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.links.http_server import (
     HttpServer,
@@ -33,7 +34,7 @@
 )
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
 from marjoramwharf.links.peer_server import PeerServer
-from marjoramwharf.links.prefix_watcher import BatchHandler, PrefixWatcher
+from marjoramwharf.links.prefix_watcher import PrefixWatcher
 from marjoramwharf.links.relayed_store import RelayedStore
 from marjoramwharf.links.store_reachability import StoreReachability
 from marjoramwharf.links.store_relay import (
@@ -205,25 +206,18 @@
         """Serve until SIGTERM or SIGINT."""
         settings = self.settings
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._watch,
-                _CONFIG_PREFIX,
-                self.config.apply,
-                _CONFIG_WAIT_MS,
-            )
-            nursery.start_soon(
-                self._watch,
-                OWNERS_PREFIX,
-                self.view.apply,
-                _OWNERS_WAIT_MS,
-            )
-            nursery.start_soon(self.store.run_probe)
-            nursery.start_soon(self.relay.run)
-            nursery.start_soon(self.directory.run)
-            nursery.start_soon(self.owner_link.run)
+            for task, call in (
+                ('configuration', self._follow_configuration),
+                ('owners', self._follow_owners),
+                ('store probe', self.store.run_probe),
+                ('store relay', self.relay.run),
+                ('entry directory', self.directory.run),
+                ('owner link', self.owner_link.run),
+            ):
+                nursery.start_soon(run_restarted, task, call)
             # Listen first: peers treat an owner that doesn't listen as ended.
             await self._listen(nursery)
-            nursery.start_soon(self.campaign.run)
+            nursery.start_soon(run_restarted, 'campaign', self.campaign.run)
             _LOG.info(
                 'started',
                 entry=settings.entry_id,
@@ -297,10 +291,15 @@
         address = self.settings.advice_address
         return PlatformAdviceClient(self.client, address) if address else None
 
-    async def _watch(
-        self, prefix: str, apply: BatchHandler, wait_ms: int
-    ) -> None:
-        await PrefixWatcher(self.store, prefix, apply, wait_ms).run()
+    async def _follow_configuration(self) -> None:
+        await PrefixWatcher(
+            self.store, _CONFIG_PREFIX, self.config.apply, _CONFIG_WAIT_MS
+        ).run()
+
+    async def _follow_owners(self) -> None:
+        await PrefixWatcher(
+            self.store, OWNERS_PREFIX, self.view.apply, _OWNERS_WAIT_MS
+        ).run()
 
     async def _listen(self, nursery: trio.Nursery) -> None:
         settings = self.settings
@@ -318,7 +317,7 @@
             secret=self.secret,
         )
         listener = await open_listener(settings.host, settings.peer_ports[0])
-        nursery.start_soon(_serve_peers, peers, listener)
+        nursery.start_soon(trio.serve_listeners, peers.serve, [listener])
 
     async def _listen_for_metrics(self, nursery: trio.Nursery) -> None:
         metrics = CellMetrics(
@@ -368,16 +367,6 @@
             await trio.sleep(0.02)
 
 
-async def _serve_peers(
-    peers: PeerServer,
-    listener: trio.SocketListener,
-) -> None:
-    async with trio.open_nursery() as nursery:
-        while True:
-            stream = await listener.accept()
-            nursery.start_soon(peers.serve, stream)
-
-
 def main() -> None:
     """Run the daemon with the platform's settings file.
 
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from marjoramwharf.ids import WorkerId
+from marjoramwharf.isolation import log_unexpected
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_state import Run, Step, Task
@@ -107,7 +108,14 @@
                 allowed_harm=self._allowed_harm(group[0], rank, now_s),
                 serving_job_millicores=mean_millicores,
             )
-            plan = self._plan_group(group, service, rank, unplaceable, context)
+            try:
+                plan = self._plan_group(
+                    group, service, rank, unplaceable, context
+                )
+            except Exception:
+                # One job must not keep all others from being planned.
+                log_unexpected(f'planning of {group[0].name}')
+                continue
             if plan is not None:
                 planned.append(plan)
         return planned
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -89,6 +89,7 @@
     """A process that competes for the cell.
 
     Cancelling ``scope`` kills it; ``gate`` lets it stand still for a while.
+    ``tenures_count`` tells how often it became the owner.
     """
 
     view: OwnerView = field(default_factory=OwnerView)
@@ -96,6 +97,7 @@
     cell: Cell | None = None
     campaign: Campaign | None = None
     gate: FreezeGate = field(default_factory=FreezeGate)
+    tenures_count: int = 0
 
 
 @dataclass
@@ -242,6 +244,7 @@
                     nursery.start_soon(candidate.campaign.run)
 
     async def _run_cell(self, candidate: Candidate, tenure: Tenure) -> None:
+        candidate.tenures_count += 1
         candidate.cell = Cell(
             ownership=CellOwnership(
                 cell=CELL,
