Choose workers by lower bounds, and keep their expected harm

All else (start orders, reports of ends) waited behind these passes.

Change: what doesn't depend on the task is worked out once a pass (CandidatePool); a step's heap begins with costs without harm, which are lower bounds, and the exact cost is computed for the cheapest only; the harm is kept with the expected headrooms of a worker, by image and size, until its runs or readings change.

--- a/src/marjoramwharf/cells/run_mover.py
+++ b/src/marjoramwharf/cells/run_mover.py
@@ -8,6 +8,7 @@
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.logs import part_logger
+from marjoramwharf.scheduling.candidates import CandidatePool
 from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.job_state import Run
 from marjoramwharf.scheduling.planner import Planner
@@ -40,20 +41,22 @@
 
     def move_all(self, *, now_s: float) -> None:
         """Move each run that should leave and that another worker can take."""
-        for worker in self.worker_registry.fleet.workers.values():
+        fleet = self.worker_registry.fleet
+        pool = CandidatePool(fleet, now_s)
+        for worker in fleet.workers.values():
             for move in tuple(find_run_moves(worker, now_s=now_s)):
-                self._move_run(move, worker, now_s)
+                self._move_run(move, worker, pool)
 
-    def _move_run(self, move: RunMove, worker: Worker, now_s: float) -> None:
+    def _move_run(
+        self, move: RunMove, worker: Worker, pool: CandidatePool
+    ) -> None:
         """Stop or duplicate a run, unless no other worker can take it now."""
         run = move.run
         service = self.queue_of(run).service
         if move.reason is not MoveReason.LEAVING:
-            worker.suspect_until_s = now_s + _SUSPECT_DURATION_S
+            worker.suspect_until_s = pool.now_s + _SUSPECT_DURATION_S
             run.task.failed_workers.add(worker.worker_id)
-        if not self.planner.has_alternative_worker(
-            run.task, service, now_s=now_s
-        ):
+        if not self.planner.has_alternative_worker(run.task, service, pool):
             return
         may_duplicate = run.step.may_duplicate and not run.step.is_lasting
         if may_duplicate and len(run.task.runs) > 1:
@@ -69,7 +72,7 @@
         )
         self.counters.moved_runs_count += 1
         if may_duplicate:
-            self.planner.plan_duplicate(run.task, service, now_s=now_s)
+            self.planner.plan_duplicate(run.task, service, pool)
             self.on_planned()
         else:
             self.worker_registry.stop(run)
--- /dev/null
+++ b/src/marjoramwharf/scheduling/candidates.py
@@ -0,0 +1,87 @@
+"""The workers that may get new runs in one pass of the planner.
+
+What doesn't depend on the task is worked out once for all steps of the pass:
+which workers take runs at all, and what their recent trouble costs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from marjoramwharf.ids import WorkerId
+from marjoramwharf.scheduling.fleet import Fleet, Worker
+
+# Costs in units of one whole worker in use, as in :mod:`scheduling.placement`.
+_FAILURE_COST = 1.5  # for each recent failure there (decayed)
+_SUSPECT_COST = 3.0  # a run recently hung or was slow there
+
+# Below this share of the CPU in use the fleet counts as idle.
+_IDLE_USE_SHARE = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A worker that takes new runs, and the cost of its recent trouble."""
+
+    worker: Worker
+    trouble_cost: float
+
+
+@dataclass(slots=True)
+class CandidatePool:
+    """The candidates of each service at ``now_s``.
+
+    Reservations made meanwhile are seen, as they are kept by the workers.
+    """
+
+    fleet: Fleet
+    now_s: float
+    _by_service: dict[str, list[Candidate]] = field(default_factory=dict)
+    _is_idle: bool | None = None
+
+    def of_service(self, service: str) -> list[Candidate]:
+        """Return the candidates of a service, in no special order."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = [
+                Candidate(worker, _trouble_cost(worker, self.now_s))
+                for worker in self.fleet.workers_of(service)
+                if worker.is_usable(self.now_s)
+            ]
+            self._by_service[service] = found
+        return found
+
+    def is_idle(self) -> bool:
+        """Whether much of the fleet's CPU was neither reserved nor in use."""
+        if self._is_idle is None:
+            self._is_idle = _is_idle(self.fleet.workers.values())
+        return self._is_idle
+
+
+def without(
+    candidates: Iterable[Candidate], worker_ids: frozenset[WorkerId]
+) -> list[Candidate]:
+    """Return the candidates that are none of these workers."""
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.worker.worker_id not in worker_ids
+    ]
+
+
+def _trouble_cost(worker: Worker, now_s: float) -> float:
+    cost = _FAILURE_COST * worker.failure_weight_at(now_s)
+    return cost + _SUSPECT_COST if worker.suspect_until_s > now_s else cost
+
+
+def _is_idle(workers: Iterable[Worker]) -> bool:
+    used = 0
+    whole = 0
+    for worker in workers:
+        used += min(
+            worker.reserved_millicores + worker.filling_millicores,
+            worker.capacity.cpu_millicores,
+        )
+        whole += worker.capacity.cpu_millicores
+    return used < _IDLE_USE_SHARE * whole
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -85,9 +85,10 @@
     ``failure_weight`` and ``success_weight`` are the numbers of runs that
     failed and that were done there, decayed over time. A draining worker may
     be gone from ``leaves_at_s`` on. While the worker ``is_filling_paused``, its
-    filling runs may be slowed or paused and none is added. ``headrooms`` and
-    their key are a cache of :mod:`scheduling.headroom`, which a new
-    ``version`` invalidates. Times in seconds are those of the boot clock.
+    filling runs may be slowed or paused and none is added. ``headrooms``, their
+    key and ``harms`` (by the image and the millicores of a task) are a cache of
+    :mod:`scheduling.headroom`, which a new ``version`` invalidates. Times in
+    seconds are those of the boot clock.
     """
 
     listing: WorkerListing
@@ -105,12 +106,15 @@
     reserved_accelerators_count: int = 0
     filling_millicores: int = 0
     serving_millicores: int = 0
+    serving_count: int = 0
     is_filling_paused: bool = False
     version: int = 0
     headrooms_key: tuple[int, int] = (-1, -1)
     headrooms: tuple[ExpectedHeadroom, ...] = ()
+    harms: dict[tuple[str, int], float] = field(default_factory=dict)
     runs: set[Run] = field(default_factory=set)
     step_counts: Counter[int] = field(default_factory=Counter)
+    serving_millicores_by_image: Counter[str] = field(default_factory=Counter)
 
     @property
     def worker_id(self) -> WorkerId:
@@ -152,6 +156,8 @@
 
     def is_quarantined(self, now_s: float) -> bool:
         """Whether recent failures keep new runs off this worker."""
+        if self.failure_weight <= _QUARANTINE_FAILURE_WEIGHT:
+            return False
         failures = self.failure_weight_at(now_s)
         successes = self.success_weight * self._decay_factor(now_s)
         return (
@@ -173,18 +179,18 @@
 
         Filling tasks reserve no CPU, but none is added while they are paused.
         """
-        free_memory = self.capacity.memory_mb - self.reserved_memory_mb
-        free_accelerators = (
-            self.capacity.accelerators_count - self.reserved_accelerators_count
-        )
-        if step.memory_mb > free_memory:
+        capacity = self.listing.capacity
+        if step.fills:
+            if self.is_filling_paused:
+                return False
+        elif step.cpu_millicores > (
+            capacity.cpu_millicores - self.reserved_millicores
+        ):
             return False
-        if step.accelerators_count > free_accelerators:
+        if step.memory_mb > capacity.memory_mb - self.reserved_memory_mb:
             return False
-        if step.fills:
-            return not self.is_filling_paused
-        return step.cpu_millicores <= (
-            self.capacity.cpu_millicores - self.reserved_millicores
+        return step.accelerators_count <= (
+            capacity.accelerators_count - self.reserved_accelerators_count
         )
 
     def could_ever_run(self, step: StepRequest) -> bool:
@@ -228,6 +234,10 @@
             self.reserved_millicores += sign * step.cpu_millicores
         if step.target_tail_ms:
             self.serving_millicores += sign * step.cpu_millicores
+            self.serving_millicores_by_image[step.image] += (
+                sign * step.cpu_millicores
+            )
+            self.serving_count += sign
         self._adjust_step_count(run, sign)
 
     def _adjust_step_count(self, run: Run, sign: int) -> None:
--- a/src/marjoramwharf/scheduling/headroom.py
+++ b/src/marjoramwharf/scheduling/headroom.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from marjoramwharf.scheduling.fleet import Worker
@@ -99,6 +100,7 @@
             old.step.over_target_counts.pop(worker.worker_id, None)
         worker.headrooms = _compute_headrooms(worker, model, now_s)
         worker.headrooms_key = key
+        worker.harms.clear()
         for new in worker.headrooms:
             new.step.over_target_counts[worker.worker_id] = (
                 new.over_target_count
@@ -120,12 +122,29 @@
     further loss costs least in a job that is lost already. The task runs beside
     the present filling tasks for a part of its time, so the result is a mean of
     the harm beside them and without them, in jobs of the mean size
-    ``job_millicores``.
+    ``job_millicores``. It is cached with the expected headrooms, since the
+    tasks of a step that waits are considered in pass after pass.
     """
-    share = request.cpu_millicores / max(1, worker.capacity.cpu_millicores)
-    load = FillingLoad(request.image, share)
+    headrooms = expected_headrooms(worker, model, now_s=now_s)
+    key = (request.image, request.cpu_millicores)
+    harm = worker.harms.get(key)
+    if harm is None:
+        share = request.cpu_millicores / max(1, worker.capacity.cpu_millicores)
+        load = FillingLoad(request.image, share)
+        harm = _harm_of_load(load, headrooms, model, job_millicores)
+        worker.harms[key] = harm
+    return harm
+
+
+def _harm_of_load(
+    load: FillingLoad,
+    headrooms: Iterable[ExpectedHeadroom],
+    model: InterferenceModel,
+    job_millicores: float,
+) -> float:
+    """Return the harm that one more load does to the serving steps."""
     harm: float = 0
-    for expected in expected_headrooms(worker, model, now_s=now_s):
+    for expected in headrooms:
         loss = model.expected_loss(expected.step.request.image, (load,))
         if loss.headroom > _MIN_LOSS:
             harm_beside = _lost_jobs(
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -9,10 +9,11 @@
 
 import heapq
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from functools import partial
 
-from marjoramwharf.ids import WorkerId
+from marjoramwharf.scheduling.candidates import Candidate
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.headroom import expected_harm
 from marjoramwharf.scheduling.interference import InterferenceModel
@@ -20,8 +21,6 @@
 from marjoramwharf.scheduling.workload import StepRequest
 
 # Costs of placing a task on a worker, in units of one whole worker in use.
-_FAILURE_COST = 1.5  # for each recent failure there (decayed)
-_SUSPECT_COST = 3.0  # a run recently hung or was slow there
 _FAILED_THERE_COST = 4.0  # the task itself has failed there
 _OTHER_RACK_COST = 6.0  # not in the rack of the task's data
 _OVERLOAD_COST = 3.0  # filling: for the expected use beyond the whole CPU
@@ -50,33 +49,46 @@
     """What a placement depends on besides the task and the workers.
 
     A filling task is placed only where its harm is at most ``allowed_harm``.
-    ``serving_job_millicores`` is the mean size of a serving job. None of the
-    ``excluded_workers`` is chosen.
+    ``serving_job_millicores`` is the mean size of a serving job.
     """
 
     model: InterferenceModel
     now_s: float
     allowed_harm: float = math.inf
     serving_job_millicores: float = DEFAULT_SERVING_JOB_MILLICORES
-    excluded_workers: frozenset[WorkerId] = frozenset()
+
+
+# The cost of a task on a candidate, infinite if it must not run there now.
+CostFunction = Callable[[Candidate], float]
 
 
 def choose_worker(
     task: Task,
-    workers: Iterable[Worker],
+    candidates: Iterable[Candidate],
     context: PlacementContext,
 ) -> Worker | None:
     """Return the cheapest worker that may run a task now, if there is one."""
+    cost_of = cost_function(task, context)
     best: Worker | None = None
     best_cost = math.inf
-    for worker in workers:
-        cost = _allowed_cost(task, worker, context)
+    for candidate in candidates:
+        cost = cost_of(candidate)
         if cost < best_cost:
-            best = worker
+            best = candidate.worker
             best_cost = cost
     return best
 
 
+def can_be_placed(
+    task: Task,
+    candidates: Iterable[Candidate],
+    context: PlacementContext,
+) -> bool:
+    """Whether any of the candidates may run a task now."""
+    cost_of = cost_function(task, context)
+    return any(cost_of(candidate) < math.inf for candidate in candidates)
+
+
 class WorkerSelector:
     """Chooses workers for the equal tasks of a step, one after the other.
 
@@ -87,33 +99,38 @@
     def __init__(
         self,
         task: Task,
-        workers: Sequence[Worker],
+        candidates: Sequence[Candidate],
         context: PlacementContext,
     ) -> None:
         """Compute the costs of the workers for a task of the step."""
-        self._task = task
-        self._workers = workers
+        self._candidates = candidates
         self._context = context
-        self._costs: list[tuple[float, int]] = []
-        for number, worker in enumerate(workers):
-            cost = _allowed_cost(task, worker, context)
-            if cost < math.inf:
-                self._costs.append((cost, number))
+        self._cost_of = cost_function(task, context)
+        # The harm of a filling task is expensive to compute, so the heap begins
+        # with costs that leave it out and are therefore never too high.
+        lowest_cost_of = cost_function(task, context, with_harm=False)
+        lowest_costs = map(lowest_cost_of, candidates)
+        self._costs = [
+            (cost, number)
+            for number, cost in enumerate(lowest_costs)
+            if cost < math.inf
+        ]
         heapq.heapify(self._costs)
 
     def choose(self, task: Task) -> Worker | None:
         """Return the cheapest worker, if any; reserve it before a new call."""
         if task.failed_workers:
-            return choose_worker(task, self._workers, self._context)
+            return choose_worker(task, self._candidates, self._context)
         self._refresh_cheapest()
-        return self._workers[self._costs[0][1]] if self._costs else None
+        if not self._costs:
+            return None
+        return self._candidates[self._costs[0][1]].worker
 
     def _refresh_cheapest(self) -> None:
         """Recompute the lowest cost until it is up to date."""
         while self._costs:
             computed_cost, number = self._costs[0]
-            worker = self._workers[number]
-            cost = _allowed_cost(self._task, worker, self._context)
+            cost = self._cost_of(self._candidates[number])
             if cost == computed_cost:
                 return
             if cost < math.inf:
@@ -122,44 +139,57 @@
                 heapq.heappop(self._costs)
 
 
-def may_run(task: Task, worker: Worker, now_s: float) -> bool:
-    """Whether a worker is allowed to run a task now and has the resources."""
+def cost_function(
+    task: Task, context: PlacementContext, *, with_harm: bool = True
+) -> CostFunction:
+    """Return the function that tells what a task costs on a candidate.
+
+    Without the harm that a filling task does, the cost is a lower bound.
+    """
+    request = task.step.request
+    load_cost = _load_cost_function(task, context, with_harm=with_harm)
+
+    def cost_of(candidate: Candidate) -> float:
+        worker = candidate.worker
+        if not worker.has_resources_for(request) or not _admits(worker, task):
+            return math.inf
+        cost = candidate.trouble_cost + load_cost(worker)
+        if worker.worker_id in task.failed_workers:
+            cost += _FAILED_THERE_COST
+        if request.data_rack and request.data_rack not in worker.listing.labels:
+            cost += _OTHER_RACK_COST
+        return cost
+
+    return cost_of
+
+
+def _load_cost_function(
+    task: Task, context: PlacementContext, *, with_harm: bool
+) -> Callable[[Worker], float]:
+    request = task.step.request
+    if request.fills:
+        if with_harm:
+            return partial(_filling_cost, request, context=context)
+        return partial(_filling_cost_without_harm, request)
+    if request.target_tail_ms:
+        return partial(_serving_cost, task)
+    return _plain_cost
+
+
+def _admits(worker: Worker, task: Task) -> bool:
+    """Whether a worker has the label of a task, and not too many of its step."""
     request = task.step.request
     limit = request.per_worker_limit
-    if not worker.is_usable(now_s) or not worker.has_resources_for(request):
-        return False
     if limit and worker.runs_count_of(task.step) >= limit:
         return False
     label = request.required_label
     return not label or label in worker.listing.labels
 
 
-def placement_cost(
-    task: Task, worker: Worker, context: PlacementContext
-) -> float:
-    """Return the cost of a task on a worker, infinite if it should wait."""
-    request = task.step.request
-    now_s = context.now_s
-    if request.fills:
-        load_cost = _filling_cost(request, worker, context)
-    elif request.target_tail_ms:
-        load_cost = _serving_cost(task, worker)
-    else:
-        load_cost = _plain_cost(worker)
-    cost = load_cost + _FAILURE_COST * worker.failure_weight_at(now_s)
-    if worker.suspect_until_s > now_s:
-        cost += _SUSPECT_COST
-    if worker.worker_id in task.failed_workers:
-        cost += _FAILED_THERE_COST
-    if request.data_rack and request.data_rack not in worker.listing.labels:
-        cost += _OTHER_RACK_COST
-    return cost
-
-
 def choose_gang_workers(
     tasks: Sequence[Task],
     fleet: Fleet,
-    candidates: Sequence[Worker],
+    candidates: Sequence[Candidate],
     context: PlacementContext,
 ) -> list[tuple[Task, Worker]] | None:
     """Return a worker for each task of a gang, ``None`` if any gets none.
@@ -167,12 +197,14 @@
     Where the step asks for it, all workers are in one rack.
     """
     one_rack = tasks[0].step.request.needs_one_rack
-    racks = {worker.listing.rack for worker in candidates} if one_rack else {''}
+    racks = {''}
+    if one_rack:
+        racks = {candidate.worker.listing.rack for candidate in candidates}
     for rack in sorted(racks):
         usable = [
-            worker
-            for worker in candidates
-            if not one_rack or worker.listing.rack == rack
+            candidate
+            for candidate in candidates
+            if not one_rack or candidate.worker.listing.rack == rack
         ]
         found = _choose_for_all(tasks, fleet, usable, context)
         if found is not None:
@@ -180,29 +212,14 @@
     return None
 
 
-def _allowed_cost(
-    task: Task, worker: Worker, context: PlacementContext
-) -> float:
-    """Return the cost, infinite also where the task must not run now."""
-    if worker.worker_id in context.excluded_workers:
-        return math.inf
-    if not may_run(task, worker, context.now_s):
-        return math.inf
-    return placement_cost(task, worker, context)
-
-
 def _filling_cost(
     request: StepRequest,
     worker: Worker,
     context: PlacementContext,
 ) -> float:
     """Return the cost of a filling task: its own slowdown and its harm."""
-    whole = max(1, worker.capacity.cpu_millicores)
-    serving = worker.serving_millicores / whole * _SERVING_USE_SHARE
-    plain = (worker.reserved_millicores - worker.serving_millicores) / whole
-    own = request.cpu_millicores / whole
-    utilization = plain + worker.filling_millicores / whole + serving + own
-    if utilization > _FILLING_LIMIT_SHARE and worker.filling_millicores:
+    slowdown_cost = _filling_cost_without_harm(request, worker)
+    if slowdown_cost == math.inf:
         return math.inf
     harm = expected_harm(
         request,
@@ -213,11 +230,21 @@
     )
     if harm > context.allowed_harm:
         return math.inf
-    serving_count = len(list(worker.serving_runs()))
+    return slowdown_cost + _HARM_COST * harm
+
+
+def _filling_cost_without_harm(request: StepRequest, worker: Worker) -> float:
+    """Return the cost of a filling task for its own slowdown."""
+    whole = max(1, worker.capacity.cpu_millicores)
+    serving = worker.serving_millicores / whole * _SERVING_USE_SHARE
+    plain = (worker.reserved_millicores - worker.serving_millicores) / whole
+    own = request.cpu_millicores / whole
+    utilization = plain + worker.filling_millicores / whole + serving + own
+    if utilization > _FILLING_LIMIT_SHARE and worker.filling_millicores:
+        return math.inf
     free = max(_MIN_FREE_SHARE, 1 - plain - serving)
     return (
-        _HARM_COST * harm
-        + _SERVING_RUN_COST * serving_count / free
+        _SERVING_RUN_COST * worker.serving_count / free
         + _UTILIZATION_COST * utilization
         + _OVERLOAD_COST * max(0, utilization - 1)
     )
@@ -231,11 +258,8 @@
     suffers as a whole or not at all.
     """
     whole = max(1, worker.capacity.cpu_millicores)
-    other = sum(
-        run.step.cpu_millicores
-        for run in worker.serving_runs()
-        if run.step.image != task.step.request.image
-    )
+    same = worker.serving_millicores_by_image[task.step.request.image]
+    other = worker.serving_millicores - same
     cost = _SERVING_BESIDE_FILLING_COST * worker.filling_millicores / whole
     cost += _OTHER_IMAGE_COST * other / whole
     cost -= worker.serving_millicores / whole
@@ -256,7 +280,7 @@
 def _choose_for_all(
     tasks: Sequence[Task],
     fleet: Fleet,
-    usable: Sequence[Worker],
+    usable: Sequence[Candidate],
     context: PlacementContext,
 ) -> list[tuple[Task, Worker]] | None:
     """Choose a worker for each task, counting in those chosen before."""
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -6,9 +6,15 @@
 import statistics
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from operator import itemgetter
 
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.isolation import log_unexpected
+from marjoramwharf.scheduling.candidates import (
+    Candidate,
+    CandidatePool,
+    without,
+)
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_state import Run, Step, Task
@@ -24,6 +30,7 @@
     DEFAULT_SERVING_JOB_MILLICORES,
     PlacementContext,
     WorkerSelector,
+    can_be_placed,
     choose_gang_workers,
     choose_worker,
 )
@@ -42,10 +49,8 @@
 _LATE_HARM = 0.15
 _LATE_HARM_PER_S = 0.1
 
-# A task that waited this long starts whatever the harm if less than this share
-# of the workers' CPU is in use.
+# A task that waited this long starts whatever the harm while the fleet is idle.
 _MAX_IDLE_WAIT_S = 1.5
-_IDLE_USE_SHARE = 0.6
 
 # Tickets of the advice service by worker; a source returns ``None`` for a step
 # whose queue needs none.
@@ -79,38 +84,26 @@
         now_ms: int,
     ) -> list[StepPlan]:
         """Plan runs for the ready tasks that fit, and reserve for them."""
-        tasks = [
-            task
-            for task in self.job_table.ready.values()
-            if task.not_before_s <= now_s
-        ]
-        groups = group_by_step(tasks)
-        ranked = sorted(
-            (
-                step_rank(
-                    group[0].step,
-                    queue_of(group[0], queues),
-                    now_ms=now_ms,
-                ),
-                number,
-            )
-            for number, group in enumerate(groups)
-        )
         planned: list[StepPlan] = []
         unplaceable = UnplaceableSteps()
+        pool = CandidatePool(self.fleet, now_s)
         mean_millicores = self._mean_serving_millicores()
-        for rank, number in ranked:
-            group = groups[number]
+        for rank, group in self._ranked_groups(queues, now_s, now_ms):
             service = queue_of(group[0], queues).service
             context = PlacementContext(
                 self.model,
                 now_s,
-                allowed_harm=self._allowed_harm(group[0], rank, now_s),
+                allowed_harm=_allowed_harm(group[0], rank, pool),
                 serving_job_millicores=mean_millicores,
             )
             try:
                 plan = self._plan_group(
-                    group, service, rank, unplaceable, context
+                    group,
+                    service,
+                    rank,
+                    unplaceable,
+                    self._candidates(group[0], pool.of_service(service)),
+                    context,
                 )
             except Exception:
                 # One job must not keep all others from being planned.
@@ -120,12 +113,39 @@
                 planned.append(plan)
         return planned
 
+    def _ranked_groups(
+        self,
+        queues: Mapping[str, QueuePolicy],
+        now_s: float,
+        now_ms: int,
+    ) -> list[tuple[Rank, list[Task]]]:
+        """Return the ready tasks by step, in the order of their ranks."""
+        groups = group_by_step(
+            [
+                task
+                for task in self.job_table.ready.values()
+                if task.not_before_s <= now_s
+            ]
+        )
+        ranked = [
+            (
+                step_rank(
+                    group[0].step, queue_of(group[0], queues), now_ms=now_ms
+                ),
+                group,
+            )
+            for group in groups
+        ]
+        ranked.sort(key=itemgetter(0))
+        return ranked
+
     def _plan_group(
         self,
         group: Sequence[Task],
         service: str,
         rank: Rank,
         unplaceable: UnplaceableSteps,
+        candidates: Sequence[Candidate],
         context: PlacementContext,
     ) -> StepPlan | None:
         """Plan runs for the ready tasks of one step, as far as they fit."""
@@ -133,7 +153,7 @@
         allowed_harm = context.allowed_harm
         if unplaceable.rules_out(service, step, allowed_harm):
             return None
-        runs = self._place_group(group, service, context)
+        runs = self._place_group(group, candidates, context)
         # A gang or a step with one rack or tickets isn't offered all workers,
         # so its failure doesn't prove that another step finds none.
         had_all_workers = not (step.is_gang or step.needs_one_rack)
@@ -143,38 +163,35 @@
         return StepPlan(runs, rank, allowed_harm) if runs else None
 
     def has_alternative_worker(
-        self, task: Task, service: str, *, now_s: float
+        self, task: Task, service: str, pool: CandidatePool
     ) -> bool:
         """Whether a worker that doesn't run a task yet could take it now."""
-        return self._alternative_worker(task, service, now_s) is not None
+        return can_be_placed(
+            task,
+            self._alternatives(task, service, pool),
+            PlacementContext(self.model, pool.now_s),
+        )
 
     def plan_duplicate(
-        self,
-        task: Task,
-        service: str,
-        *,
-        now_s: float,
+        self, task: Task, service: str, pool: CandidatePool
     ) -> Run | None:
         """Plan a second run of a task on another worker, if one can take it."""
-        worker = self._alternative_worker(task, service, now_s)
-        return None if worker is None else self._place(task, worker, now_s)
+        worker = choose_worker(
+            task,
+            self._alternatives(task, service, pool),
+            PlacementContext(self.model, pool.now_s),
+        )
+        return None if worker is None else self._place(task, worker, pool.now_s)
 
-    def _alternative_worker(
-        self,
-        task: Task,
-        service: str,
-        now_s: float,
-    ) -> Worker | None:
+    def _alternatives(
+        self, task: Task, service: str, pool: CandidatePool
+    ) -> list[Candidate]:
+        """Return the candidates for a task that don't run it yet."""
         present_worker_ids = frozenset(
             run.worker_id for run in task.runs.values()
         )
-        return choose_worker(
-            task,
-            self._candidates(task, service),
-            PlacementContext(
-                self.model, now_s, excluded_workers=present_worker_ids
-            ),
-        )
+        candidates = self._candidates(task, pool.of_service(service))
+        return without(candidates, present_worker_ids)
 
     def _mean_serving_millicores(self) -> float:
         """Return the mean size of the serving steps of unfinished jobs."""
@@ -189,36 +206,13 @@
             statistics.fmean(sizes) if sizes else DEFAULT_SERVING_JOB_MILLICORES
         )
 
-    def _allowed_harm(self, task: Task, rank: Rank, now_s: float) -> float:
-        """Return the largest harm at which a task, if it fills, may start."""
-        waited_s = now_s - task.ready_since_s
-        if waited_s > _MAX_IDLE_WAIT_S and self._is_idle():
-            return math.inf
-        if rank.tier is not Tier.ON_TIME:
-            return _LATE_HARM + _LATE_HARM_PER_S * waited_s
-        excess_harm = (_MUCH_SLACK_MS - rank.slack_ms) / _SLACK_MS_PER_HARM
-        return _HARM_WITH_MUCH_SLACK + max(0, excess_harm)
-
-    def _is_idle(self) -> bool:
-        """Whether much of the fleet's CPU is neither reserved nor in use."""
-        used = 0
-        whole = 0
-        for worker in self.fleet.workers.values():
-            used += min(
-                worker.reserved_millicores + worker.filling_millicores,
-                worker.capacity.cpu_millicores,
-            )
-            whole += worker.capacity.cpu_millicores
-        return used < _IDLE_USE_SHARE * whole
-
     def _place_group(
         self,
         group: Sequence[Task],
-        service: str,
+        candidates: Sequence[Candidate],
         context: PlacementContext,
     ) -> list[Run]:
         """Place tasks of one step until one of them finds no worker."""
-        candidates = self._candidates(group[0], service)
         if group[0].step.request.is_gang:
             return self._place_gang(group[0], candidates, context)
         if group[0].step.request.needs_one_rack:
@@ -238,7 +232,7 @@
     def _place_gang(
         self,
         first: Task,
-        candidates: Sequence[Worker],
+        candidates: Sequence[Candidate],
         context: PlacementContext,
     ) -> list[Run]:
         """Place a whole gang, with one number for all its runs, or nothing."""
@@ -269,28 +263,49 @@
         worker.add(run)
         return run
 
-    def _candidates(self, task: Task, service: str) -> list[Worker]:
-        """Return the workers of the service that have a ticket if needed."""
-        workers = self.fleet.workers_of(service)
+    def _candidates(
+        self, task: Task, candidates: list[Candidate]
+    ) -> list[Candidate]:
+        """Return those candidates that have a ticket, if a task needs one."""
         tickets = self.tickets(task.step)
         if tickets is None:
-            return workers
-        return [worker for worker in workers if worker.worker_id in tickets]
+            return candidates
+        return [
+            candidate
+            for candidate in candidates
+            if candidate.worker.worker_id in tickets
+        ]
+
+
+def _allowed_harm(task: Task, rank: Rank, pool: CandidatePool) -> float:
+    """Return the largest harm at which a task, if it fills, may start."""
+    waited_s = pool.now_s - task.ready_since_s
+    if waited_s > _MAX_IDLE_WAIT_S and pool.is_idle():
+        return math.inf
+    if rank.tier is not Tier.ON_TIME:
+        return _LATE_HARM + _LATE_HARM_PER_S * waited_s
+    excess_harm = (_MUCH_SLACK_MS - rank.slack_ms) / _SLACK_MS_PER_HARM
+    return _HARM_WITH_MUCH_SLACK + max(0, excess_harm)
 
 
 def _workers_of_one_rack(
-    step: Step, candidates: Sequence[Worker]
-) -> list[Worker]:
-    """Return the workers of the rack that a step runs in already.
+    step: Step, candidates: Sequence[Candidate]
+) -> list[Candidate]:
+    """Return the candidates of the rack that a step runs in already.
 
     Before its first start, that is the rack with the most free CPU.
     """
-    running = [worker for worker in candidates if worker.runs_count_of(step)]
+    chosen = ''
     racks: dict[str, float] = {}
-    for worker in candidates:
+    for candidate in candidates:
+        worker = candidate.worker
         free = worker.capacity.cpu_millicores - worker.reserved_millicores
         racks[worker.listing.rack] = racks.get(worker.listing.rack, 0) + free
-    chosen = max(racks, key=racks.__getitem__, default='')
-    if running:
-        chosen = running[0].listing.rack
-    return [worker for worker in candidates if worker.listing.rack == chosen]
+        if worker.runs_count_of(step):
+            chosen = chosen or worker.listing.rack
+    chosen = chosen or max(racks, key=racks.__getitem__, default='')
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.worker.listing.rack == chosen
+    ]
--- a/tools/planner_cost.py
+++ b/tools/planner_cost.py
@@ -26,7 +26,7 @@
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 
-_SIZES = (33, 246, 1_000)
+_SIZES = (33, 246, 1_000, 5_200)
 _QUEUE = QueuePolicy('q', 'a.example', '/q/', 'presses', stretch=2)
 _SERVING_JOBS_PER_WORKER = 0.7
 _WORKERS_PER_FILLING_JOB = 30
