Search a sample of the workers first in large fleets

Change: with more than 512 workers, a sample of that size is searched first, different for each job, and the others only if the sample has no room; steps with a rack, a label or a limit per worker are offered all. The cost of a filling task without harm is computed in fewer steps.

--- a/src/marjoramwharf/scheduling/candidates.py
+++ b/src/marjoramwharf/scheduling/candidates.py
@@ -6,16 +6,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import zlib
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.scheduling.fleet import Fleet, Worker
+from marjoramwharf.scheduling.job_state import Step
+from marjoramwharf.scheduling.workload import StepRequest
 
 # Costs in units of one whole worker in use, as in :mod:`scheduling.placement`.
 _FAILURE_COST = 1.5  # for each recent failure there (decayed)
 _SUSPECT_COST = 3.0  # a run recently hung or was slow there
 
+# In a fleet with more workers, a sample of this size is searched first.
+_SAMPLE_SIZE = 512
+
 # Below this share of the CPU in use the fleet counts as idle.
 _IDLE_USE_SHARE = 0.6
 
@@ -59,6 +65,36 @@
         return self._is_idle
 
 
+def search_parts(
+    step: Step, candidates: Sequence[Candidate]
+) -> Iterator[Sequence[Candidate]]:
+    """Return the candidates to search for a step, one part after the other.
+
+    In a large fleet a sample of the candidates holds about as good a worker as
+    all of them, at a cost that doesn't grow with the fleet. The others are
+    searched only if the sample has no room left. A step that few workers suit
+    is offered all at once. The sample differs between jobs and is the same in
+    each pass.
+    """
+    if len(candidates) <= _SAMPLE_SIZE or _suits_few_workers(step.request):
+        yield candidates
+        return
+    job_id = step.occurrence.job.job_id
+    first = zlib.crc32(job_id.encode()) % len(candidates)
+    rotated = [*candidates[first:], *candidates[:first]]
+    yield rotated[:_SAMPLE_SIZE]
+    yield rotated[_SAMPLE_SIZE:]
+
+
+def _suits_few_workers(request: StepRequest) -> bool:
+    return bool(
+        request.data_rack
+        or request.required_label
+        or request.needs_one_rack
+        or request.per_worker_limit
+    )
+
+
 def without(
     candidates: Iterable[Candidate], worker_ids: frozenset[WorkerId]
 ) -> list[Candidate]:
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -148,16 +148,18 @@
     """
     request = task.step.request
     load_cost = _load_cost_function(task, context, with_harm=with_harm)
+    is_restricted = request.per_worker_limit or request.required_label
+    has_preferences = task.failed_workers or request.data_rack
 
     def cost_of(candidate: Candidate) -> float:
         worker = candidate.worker
-        if not worker.has_resources_for(request) or not _admits(worker, task):
+        if not worker.has_resources_for(request):
+            return math.inf
+        if is_restricted and not _admits(worker, task):
             return math.inf
         cost = candidate.trouble_cost + load_cost(worker)
-        if worker.worker_id in task.failed_workers:
-            cost += _FAILED_THERE_COST
-        if request.data_rack and request.data_rack not in worker.listing.labels:
-            cost += _OTHER_RACK_COST
+        if has_preferences:
+            cost += _preference_cost(worker, task)
         return cost
 
     return cost_of
@@ -176,6 +178,17 @@
     return _plain_cost
 
 
+def _preference_cost(worker: Worker, task: Task) -> float:
+    """Return the cost of a worker where a task failed, or far from its data."""
+    cost: float = 0
+    if worker.worker_id in task.failed_workers:
+        cost += _FAILED_THERE_COST
+    rack = task.step.request.data_rack
+    if rack and rack not in worker.listing.labels:
+        cost += _OTHER_RACK_COST
+    return cost
+
+
 def _admits(worker: Worker, task: Task) -> bool:
     """Whether a worker has the label of a task, and not too many of its step."""
     request = task.step.request
@@ -235,19 +248,21 @@
 
 def _filling_cost_without_harm(request: StepRequest, worker: Worker) -> float:
     """Return the cost of a filling task for its own slowdown."""
-    whole = max(1, worker.capacity.cpu_millicores)
-    serving = worker.serving_millicores / whole * _SERVING_USE_SHARE
-    plain = (worker.reserved_millicores - worker.serving_millicores) / whole
-    own = request.cpu_millicores / whole
-    utilization = plain + worker.filling_millicores / whole + serving + own
-    if utilization > _FILLING_LIMIT_SHARE and worker.filling_millicores:
+    whole = worker.listing.capacity.cpu_millicores or 1
+    filling = worker.filling_millicores
+    # What other runs use: plain ones all that they reserve, serving ones less.
+    unused_share = 1 - _SERVING_USE_SHARE
+    used = worker.reserved_millicores - unused_share * worker.serving_millicores
+    utilization = (used + filling + request.cpu_millicores) / whole
+    if utilization > _FILLING_LIMIT_SHARE and filling:
         return math.inf
-    free = max(_MIN_FREE_SHARE, 1 - plain - serving)
-    return (
-        _SERVING_RUN_COST * worker.serving_count / free
-        + _UTILIZATION_COST * utilization
-        + _OVERLOAD_COST * max(0, utilization - 1)
-    )
+    cost = _UTILIZATION_COST * utilization
+    if utilization > 1:
+        cost += _OVERLOAD_COST * (utilization - 1)
+    if worker.serving_count:
+        free = max(_MIN_FREE_SHARE, 1 - used / whole)
+        cost += _SERVING_RUN_COST * worker.serving_count / free
+    return cost
 
 
 def _serving_cost(task: Task, worker: Worker) -> float:
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -13,6 +13,7 @@
 from marjoramwharf.scheduling.candidates import (
     Candidate,
     CandidatePool,
+    search_parts,
     without,
 )
 from marjoramwharf.scheduling.fleet import Fleet, Worker
@@ -218,11 +219,26 @@
         if group[0].step.request.needs_one_rack:
             candidates = _workers_of_one_rack(group[0].step, candidates)
         planned: list[Run] = []
-        never_failed = [task for task in group if not task.failed_workers]
+        for part in search_parts(group[0].step, candidates):
+            waiting = group[len(planned) :]
+            planned.extend(self._place_tasks(waiting, part, context))
+        return planned
+
+    def _place_tasks(
+        self,
+        tasks: Sequence[Task],
+        candidates: Sequence[Candidate],
+        context: PlacementContext,
+    ) -> list[Run]:
+        """Place tasks of one step until one finds none of the candidates."""
+        planned: list[Run] = []
+        if not tasks:
+            return planned
+        never_failed = [task for task in tasks if not task.failed_workers]
         selector = WorkerSelector(
-            (never_failed or group)[0], candidates, context
+            (never_failed or tasks)[0], candidates, context
         )
-        for task in group:
+        for task in tasks:
             worker = selector.choose(task)
             if worker is None:
                 break
