Prove the tests of a cell by mutants of its code, and add frozen owners

Change: tools.mutants (make mutants) runs the tests against eleven mutants, each without one precaution. A third set of histories has owners that stand still and reports that come late. test_owner_dies_before_progress_is_stored is new: the only mutant that was missed (a run ordered before it is stored) is caught by it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH = src:.
 SOURCES = src standins tools tests deploy/entry.py
 
-.PHONY: setup format lint types unit test demo platform-demo measure capacity thrift clean
+.PHONY: setup format lint types unit test demo platform-demo measure capacity mutants thrift clean
 
 setup: $(VENV)/.installed
 
@@ -40,5 +40,8 @@
 capacity: setup
 	$(BIN)/python -m tools.slopes $(ARGS)
 
+mutants: setup
+	$(BIN)/python -m tools.mutants $(ARGS)
+
 thrift:
 	thrift -out src/marjoramwharf/links/thrift_types --gen py:slots,enum,package_prefix=marjoramwharf.links.thrift_types. src/marjoramwharf/links/peer.thrift
--- /dev/null
+++ b/tests/cells/mutants.py
@@ -0,0 +1,139 @@
+"""Deliberate faults in the code of a cell, each of which its tests must catch.
+
+A mutant leaves out one of the precautions that keep work from being doubled or
+lost. ``make mutants`` runs the tests of the cell against each of them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from contextlib import AbstractContextManager
+from dataclasses import replace
+from typing import Any
+from unittest.mock import PropertyMock, patch
+
+from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.end_acknowledgements import (
+    EndAcknowledgements,
+    _UnacknowledgedEnd,
+)
+from marjoramwharf.cells.progress_writer import ProgressWriter
+from marjoramwharf.cells.report_processor import ReportProcessor
+from marjoramwharf.cells.worker_clock import WorkerClock
+from marjoramwharf.cells.worker_link import WorkerLink
+from marjoramwharf.cells.worker_messages import (
+    HoldReport,
+    OrderAnswer,
+    StopOrder,
+)
+from marjoramwharf.cells.worker_orders import WorkerOrders
+from marjoramwharf.links.store import Guard
+from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
+
+_Patch = AbstractContextManager[Any]
+
+_send_start = WorkerOrders._send_start
+_send_stop = WorkerOrders._send_stop
+_plan = Cell._plan
+_add_end = EndAcknowledgements.add
+_run_writer = ProgressWriter.run
+
+
+async def _start_without_fence(
+    self: WorkerOrders, run: Run, now_s: float
+) -> OrderAnswer:
+    context = self.context
+    self.context = replace(context, fence=0)
+    try:
+        return await _send_start(self, run, now_s)
+    finally:
+        self.context = context
+
+
+async def _stop_without_fence(
+    self: WorkerOrders, order: StopOrder
+) -> OrderAnswer:
+    return await _send_stop(self, replace(order, fence=0))
+
+
+def _plan_and_start(self: Cell) -> None:
+    _plan(self)
+    for run in tuple(self.job_table.live_runs()):
+        if run.phase is RunPhase.PLANNED:
+            self._send_start(run)
+
+
+def _lease_for_unreachable(self: WorkerLink, now_s: float) -> int | None:
+    return self.clock.grant_lease(self.context.hold_ms, now_s=now_s)
+
+
+def _is_same_by_clock(
+    self: ReportProcessor, report: HoldReport, _sent_s: float
+) -> bool:
+    return self.clock.may_show(report.clock_ms, since_s=self.clock.read_s + 1.2)
+
+
+def _restart_without_lease(
+    self: WorkerClock, clock_ms: int, *, now_s: float, lease_end_ms: int
+) -> None:
+    del lease_end_ms
+    self.reading_ms = clock_ms
+    self.read_s = now_s
+    self.lease_end_ms = 0
+    self.offset_s = now_s - clock_ms / 1_000
+    self.offset_at_s = now_s
+
+
+async def _write_unguarded(self: ProgressWriter) -> None:
+    self.ownership_guard = Guard('nobody', 0)
+    await _run_writer(self)
+
+
+async def _stop_once(self: WorkerOrders, run: Run) -> None:
+    """Send a stop order once, and take the run for ended whatever comes."""
+    order = StopOrder(run.task.name, run.number, self.context.fence)
+    await _send_stop(self, order)
+    if run.phase is not RunPhase.ENDED:
+        self.owner.end_run(run, RunEnd.VANISHED, '')
+
+
+def _always(*_args: object, **_named: object) -> bool:
+    return True
+
+
+# Each mutant by the precaution that it leaves out.
+MUTANTS: Mapping[str, Callable[[], _Patch]] = {
+    'start orders carry a fence': lambda: patch.object(
+        WorkerOrders, '_send_start', _start_without_fence
+    ),
+    'an end is stored before it is acknowledged': lambda: patch.object(
+        _UnacknowledgedEnd, 'is_stored', PropertyMock(return_value=True)
+    ),
+    'a run is stored before it is ordered': lambda: patch.object(
+        Cell, '_plan', _plan_and_start
+    ),
+    'no lease is extended without answers': lambda: patch.object(
+        WorkerLink, '_lease_end_ms', _lease_for_unreachable
+    ),
+    'the start time of a worker tells its incarnation': lambda: patch.object(
+        ReportProcessor, '_is_same_incarnation', _is_same_by_clock
+    ),
+    'a missing run may still start': lambda: patch(
+        f'{ReportProcessor.__module__}._has_certainly_ended', _always
+    ),
+    'leases of a former owner are remembered': lambda: patch.object(
+        WorkerClock, 'restart', _restart_without_lease
+    ),
+    'all leases have ended before runs are given up': lambda: patch.object(
+        WorkerClock, 'has_lapsed', _always
+    ),
+    'only the owner starts runs': lambda: patch.object(
+        Cell, 'may_start_runs', _always
+    ),
+    'progress is written only by the owner': lambda: patch.object(
+        ProgressWriter, 'run', _write_unguarded
+    ),
+    'a stop order is repeated until it is answered': lambda: patch.object(
+        WorkerOrders, 'stop', _stop_once
+    ),
+}
--- a/tests/cells/test_histories.py
+++ b/tests/cells/test_histories.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
+from itertools import repeat
 
 import trio
 from hypothesis import HealthCheck, given, settings
@@ -31,6 +32,8 @@
 _WORKERS = ('w1', 'w2', 'w3')
 _JOBS_COUNT = 4
 _EXAMPLES_COUNT = 60
+_FREEZE_S = 0.9
+_REPORT_DELAY_S = 0.8
 
 
 def _kill_owner(cluster: Cluster, _pick: int) -> None:
@@ -113,6 +116,17 @@
                 candidate.view.mark_owner_ended(owner)
 
 
+def _freeze_owner(cluster: Cluster, pick: int) -> None:
+    """Let each owner stand still, for up to twice its own lease."""
+    for candidate in cluster.candidates:
+        if candidate.cell is not None:
+            candidate.gate.freeze(pick * _FREEZE_S)
+
+
+def _delay_reports(cluster: Cluster, pick: int) -> None:
+    cluster.worker_client.hold_answer_delays_s += repeat(_REPORT_DELAY_S, pick)
+
+
 _Fault = Callable[[Cluster, int], None]
 _FAULTS: tuple[_Fault, ...] = (
     _kill_owner,
@@ -146,6 +160,9 @@
     )
 
 
+# Standing still and late reports are as frequent as all other faults together.
+_LATE_FAULTS = _FAULTS + (_freeze_owner, _delay_reports) * (len(_FAULTS) // 2)
+
 # The false report that an owner has ended is as frequent as all other faults
 # together.
 _RIVAL_FAULTS = _FAULTS + (_report_owner_ended,) * len(_FAULTS)
@@ -178,6 +195,19 @@
         """Guards against two owners when a living one is taken for dead."""
         run_with_clock(partial(self._play, history, entries_count=3))
 
+    @settings(
+        derandomize=True,
+        max_examples=_EXAMPLES_COUNT,
+        deadline=None,
+        suppress_health_check=[HealthCheck.too_slow],
+    )
+    @given(_histories(_LATE_FAULTS))
+    def test_late_owners(
+        self, history: list[tuple[_Fault, int, float]]
+    ) -> None:
+        """Guards against acting on old news, or by a right that has ended."""
+        run_with_clock(partial(self._play, history, entries_count=2))
+
     async def _play(
         self,
         history: list[tuple[_Fault, int, float]],
--- a/tests/cells/test_late_answers.py
+++ b/tests/cells/test_late_answers.py
@@ -52,6 +52,10 @@
         """Guards against a former owner's late run beside a new one."""
         run_with_clock(self._order_reaches_unreached_worker)
 
+    def test_owner_dies_before_progress_is_stored(self) -> None:
+        """Guards against a run that the next owner doesn't know of."""
+        run_with_clock(self._owner_dies_before_progress_is_stored)
+
     def test_worker_is_lost_after_first_poll(self) -> None:
         """Guards against forgetting the lease that a former owner granted."""
         run_with_clock(self._worker_is_lost_after_first_poll)
@@ -160,6 +164,24 @@
             await trio.sleep(1)
             cluster.check_single_runs()
 
+    async def _owner_dies_before_progress_is_stored(self) -> None:
+        """The worker of the run can't be reached by the next owner."""
+        async with open_cluster(('w1',)) as (cluster, nursery):
+            owner = await _elect(cluster, nursery)
+            request = job_request('aa', payload='ms=60000')
+            await cluster.submit(request)
+            cluster.store.commits_to_delay = 100
+            await trio.sleep(1)
+            owner.scope.cancel()
+            cluster.store.commits_to_delay = 0
+            cluster.worker_client.unreachable.add(WorkerId('w1'))
+            await cluster.add_worker('w2')
+            cluster.spawn(nursery, 'e2')
+            await cluster.wait_until(
+                lambda: bool(cluster.workers[WorkerId('w2')].starts)
+            )
+            cluster.check_single_runs()
+
     async def _worker_is_lost_after_first_poll(self) -> None:
         async with open_cluster(('w1',)) as (cluster, nursery):
             owner = await _elect(cluster, nursery)
