--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -37,6 +37,7 @@
     carried out without an answer; the next ``starts_to_repeat`` starts are
     carried out twice, as by a client that sends a call again. The next
     ``starts_to_delay`` starts wait in ``delayed_orders`` for a test's call. The
+    next ``stops_to_drop`` stops are not carried out and get no answer. The
     answers to the next holds take ``hold_answer_delays_s`` longer than usual.
     ``holds_count`` is the number of holds that were answered.
     """
@@ -47,6 +48,7 @@
     starts_to_repeat: int = 0
     hold_answers_to_lose: int = 0
     starts_to_delay: int = 0
+    stops_to_drop: int = 0
     holds_count: int = 0
     hold_answer_delays_s: list[float] = field(default_factory=list)
     delayed_orders: list[Callable[[], OrderAnswer]] = field(
@@ -86,6 +88,10 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to stop a run."""
+        if self.stops_to_drop:
+            self.stops_to_drop -= 1
+            await trio.sleep(timeout_s)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
         answer = await self._reach(
             worker.worker_id,
             lambda: self._worker(worker.worker_id).stop(
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -73,15 +73,8 @@
     return self.clock.may_show(report.clock_ms, since_s=self.clock.read_s + 1.2)
 
 
-def _restart_without_lease(
-    self: WorkerClock, clock_ms: int, *, now_s: float, lease_end_ms: int
-) -> None:
-    del lease_end_ms
-    self.reading_ms = clock_ms
-    self.read_s = now_s
-    self.lease_end_ms = 0
-    self.offset_s = now_s - clock_ms / 1_000
-    self.offset_at_s = now_s
+def _no_late_lease(_self: ReportProcessor, _now_s: float) -> int:
+    return 0
 
 
 async def _write_unguarded(self: ProgressWriter) -> None:
@@ -121,8 +114,8 @@
     'a missing run may still start': lambda: patch(
         f'{ReportProcessor.__module__}._has_certainly_ended', _always
     ),
-    'leases of a former owner are remembered': lambda: patch.object(
-        WorkerClock, 'restart', _restart_without_lease
+    'late orders at a restarted worker hold a lease': lambda: patch.object(
+        ReportProcessor, '_late_lease_ms', _no_late_lease
     ),
     'all leases have ended before runs are given up': lambda: patch.object(
         WorkerClock, 'has_lapsed', _always
--- a/tests/cells/test_late_answers.py
+++ b/tests/cells/test_late_answers.py
@@ -7,19 +7,31 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Sequence
+from contextlib import AbstractContextManager
+from unittest.mock import patch
 
 import trio
 
 from marjoramwharf.cells.job_status import PublicJobState
+from marjoramwharf.cells.records import progress_prefix
 from marjoramwharf.ids import WorkerId
+from marjoramwharf.links.store import Committed, Conflict, Guard, Write
+from marjoramwharf.scheduling.fleet import WorkerState
+from standins.simulated_worker import SimulatedWorker
 from tests.cells.cluster import (
+    CELL,
     Candidate,
     Cluster,
     job_request,
     open_cluster,
     run_with_clock,
+    step,
 )
 
+# What thaws first is random, so this is tried more than once.
+_THAW_ATTEMPTS_COUNT = 8
+
 
 async def _elect(cluster: Cluster, nursery: trio.Nursery) -> Candidate:
     """Spawn an entry and wait until it has polled the workers."""
@@ -29,6 +41,28 @@
     return candidate
 
 
+def _freeze_at_commit(
+    cluster: Cluster, owner: Candidate, duration_s: float
+) -> AbstractContextManager[object]:
+    """Let the owner stand still once its progress is stored.
+
+    It learns of the commit, and may send the order, after it thaws.
+    """
+    commit = cluster.store.commit
+    prefix = progress_prefix(CELL)
+
+    async def freezing_commit(
+        guards: Sequence[Guard], writes: Sequence[Write]
+    ) -> Committed | Conflict:
+        outcome = await commit(guards, writes)
+        is_progress = any(write.key.startswith(prefix) for write in writes)
+        if is_progress and not owner.gate.frozen_until_s:
+            owner.gate.freeze(duration_s)
+        return outcome
+
+    return patch.object(cluster.store, 'commit', freezing_commit)
+
+
 class LateAnswerTests(unittest.TestCase):
     """Guards against work that is started again for the sake of old news."""
 
@@ -56,6 +90,19 @@
         """Guards against a run that the next owner doesn't know of."""
         run_with_clock(self._owner_dies_before_progress_is_stored)
 
+    def test_former_owner_thaws(self) -> None:
+        """Guards against a start long after the right to start has ended."""
+        for _ in range(_THAW_ATTEMPTS_COUNT):
+            run_with_clock(self._former_owner_thaws)
+
+    def test_late_start_at_restarted_worker(self) -> None:
+        """Guards against a lease that was meant for another clock."""
+        run_with_clock(self._late_start_at_restarted_worker)
+
+    def test_stop_is_lost(self) -> None:
+        """Guards against a run that counts as stopped without an answer."""
+        run_with_clock(self._stop_is_lost)
+
     def test_worker_is_lost_after_first_poll(self) -> None:
         """Guards against forgetting the lease that a former owner granted."""
         run_with_clock(self._worker_is_lost_after_first_poll)
@@ -128,12 +175,11 @@
         """Freeze the owner just before a start order leaves."""
         async with open_cluster(('w1',)) as (cluster, nursery):
             owner = await _elect(cluster, nursery)
-            stored = cluster.store.commits_count
-            await cluster.submit(job_request('aa', payload='ms=2000'))
-            await cluster.wait_until(
-                lambda: cluster.store.commits_count > stored + 1
-            )
-            owner.gate.freeze(30)
+            with _freeze_at_commit(cluster, owner, 30):
+                await cluster.submit(job_request('aa', payload='ms=2000'))
+                await cluster.wait_until(
+                    lambda: bool(owner.gate.frozen_until_s)
+                )
             cluster.spawn(nursery, 'e2')
             await trio.sleep(35)
             cluster.check_single_runs()
@@ -182,6 +228,67 @@
             )
             cluster.check_single_runs()
 
+    async def _former_owner_thaws(self) -> None:
+        """The former owner reaches the worker again before the new one does.
+
+        It stands still while a run is being stored. Its order would leave after
+        the new owner has waited for the end of all leases.
+        """
+        async with open_cluster(('w1',)) as (cluster, nursery):
+            owner = await _elect(cluster, nursery)
+            with _freeze_at_commit(cluster, owner, 30):
+                await cluster.submit(job_request('aa', payload='ms=60000'))
+                await cluster.wait_until(
+                    lambda: bool(owner.gate.frozen_until_s)
+                )
+            cluster.worker_client.unreachable.add(WorkerId('w1'))
+            second = await cluster.add_worker('w2')
+            cluster.spawn(nursery, 'e2')
+            await cluster.wait_until(lambda: bool(second.starts))
+            await trio.sleep_until(owner.gate.frozen_until_s)
+            cluster.worker_client.unreachable.clear()
+            for _ in range(50):
+                await trio.sleep(0.02)
+                cluster.check_single_runs()
+
+    async def _late_start_at_restarted_worker(self) -> None:
+        """The worker is silent from then on, so nothing can be stopped there.
+
+        The end of the lease in the order was a time of the former clock, so the
+        late run lasts as long as the worker allows at most.
+        """
+        name = WorkerId('w1')
+        async with open_cluster((name,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            await trio.sleep(30)
+            client = cluster.worker_client
+            client.starts_to_delay = 4
+            client.stops_to_drop = 100
+            await cluster.submit(job_request('aa', payload='ms=60000'))
+            await cluster.wait_until(lambda: bool(client.delayed_orders))
+            cluster.workers[name] = SimulatedWorker(trio.current_time())
+            await trio.sleep(2.5)
+            client.delayed_orders[0]()
+            self.assertTrue(cluster.workers[name].running)
+            client.unreachable.add(name)
+            second = await cluster.add_worker('w2')
+            await cluster.wait_until(lambda: bool(second.starts))
+
+    async def _stop_is_lost(self) -> None:
+        async with open_cluster(('w1',)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            await cluster.submit(
+                job_request('aa', step(1, is_lasting=True), payload='last')
+            )
+            await cluster.wait_until(lambda: cluster.starts().total() == 1)
+            await trio.sleep(1)
+            second = await cluster.add_worker('w2')
+            cluster.worker_client.stops_to_drop = 3
+            await cluster.add_worker(
+                'w1', state=WorkerState.DRAINING, remaining_ms=60_000
+            )
+            await cluster.wait_until(lambda: bool(second.running), limit_s=5)
+
     async def _worker_is_lost_after_first_poll(self) -> None:
         async with open_cluster(('w1',)) as (cluster, nursery):
             owner = await _elect(cluster, nursery)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -3,14 +3,17 @@
     python -m tools.mutants [NAME ...]
 
 Each mutant leaves out one precaution (see ``tests/cells/mutants.py``). A mutant
-that no test notices is *missed*, and the exit status is 1 then.
+that no test notices is *missed*, and the exit status is 1 then. Each runs in a
+process of its own, since the random histories can't run twice in one.
 """
 
 from __future__ import annotations
 
 import io
+import subprocess
 import sys
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import redirect_stdout
 
 from tests.cells import test_cell, test_histories, test_late_answers
@@ -19,24 +22,43 @@
 # The random histories are last, since they take longest.
 _TEST_MODULES = (test_cell, test_late_answers, test_histories)
 
+_CONCURRENT_PROCESSES_COUNT = 2
+_SINGLE_OPTION = '--single'
+
 
 def main() -> None:
     """Try the mutants that are named, or all of them."""
     names = sys.argv[1:] or list(MUTANTS)
-    missed = [name for name in names if not _is_caught(name)]
-    print(f'{len(names) - len(missed)} of {len(names)} mutants caught')
-    sys.exit(1 if missed else 0)
+    if names[0] == _SINGLE_OPTION:
+        print(_try_mutant(names[1]))
+        return
+    with ThreadPoolExecutor(_CONCURRENT_PROCESSES_COUNT) as executor:
+        failed_tests = list(executor.map(_try_in_process, names))
+    for name, failed in zip(names, failed_tests, strict=True):
+        print(f'{"caught" if failed else "MISSED"}: {name} ({failed})')
+    missed_count = failed_tests.count('')
+    print(f'{len(names) - missed_count} of {len(names)} mutants caught')
+    sys.exit(1 if missed_count else 0)
+
+
+def _try_in_process(name: str) -> str:
+    """Return the test that catches a mutant, empty if none does."""
+    finished = subprocess.run(
+        [sys.executable, '-m', 'tools.mutants', _SINGLE_OPTION, name],
+        check=True,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    return finished.stdout.strip()
 
 
-def _is_caught(name: str) -> bool:
+def _try_mutant(name: str) -> str:
     with MUTANTS[name]():
-        failed = _failed_test()
-    print(f'{"caught" if failed else "MISSED"}: {name} ({failed or "no test"})')
-    return failed is not None
+        return _first_failed_test()
 
 
-def _failed_test() -> str | None:
-    """Return the first test that fails, ``None`` if all pass."""
+def _first_failed_test() -> str:
+    """Return the first test that fails, empty if all pass."""
     for module in _TEST_MODULES:
         suite = unittest.defaultTestLoader.loadTestsFromModule(module)
         outcome = unittest.TestResult()
@@ -46,7 +68,7 @@
         failures = [*outcome.failures, *outcome.errors]
         if failures:
             return failures[0][0].id().removeprefix('tests.cells.')
-    return None
+    return ''
 
 
 if __name__ == '__main__':
