Replace a mutant that other precautions make harmless

Cause: 'only the owner starts runs' can't double work by itself: a start needs a commit that only the owner can make, an order carries a lease from its sending, and runs whose leases have lapsed are dropped first when an owner thaws (trace of test_former_owner_thaws with the mutant: the run was ended before its order left).

Change: a mutant that doesn't wait for workers which the new owner never reached.

--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -32,6 +32,8 @@
 
 _Patch = AbstractContextManager[Any]
 
+_LONG_S = 60
+
 _send_start = WorkerOrders._send_start
 _send_stop = WorkerOrders._send_stop
 _plan = Cell._plan
@@ -120,8 +122,8 @@
     'all leases have ended before runs are given up': lambda: patch.object(
         WorkerClock, 'has_lapsed', _always
     ),
-    'only the owner starts runs': lambda: patch.object(
-        Cell, 'may_start_runs', _always
+    'a new owner waits for workers that it never reached': lambda: patch(
+        f'{Cell.__module__}._FORMER_LEASE_MARGIN_S', -_LONG_S
     ),
     'progress is written only by the owner': lambda: patch.object(
         ProgressWriter, 'run', _write_unguarded
