Ignore reads of a job that was made before its removal

Cause: a finished job is removed from the store after some minutes. If the owner's watch has lost its history and reads everything just then, the read may have been answered before the removal and be processed after it. The job then looks like a new one without progress, and all of its tasks run again (test_late_read fails on the former code).

Change: the inbox remembers the revision of a removal until a batch is later than it, and ignores older values.

--- a/src/marjoramwharf/cells/end_acknowledgements.py
+++ b/src/marjoramwharf/cells/end_acknowledgements.py
@@ -30,14 +30,17 @@
         return self.job is None or self.job.stored_version >= self.version
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class EndAcknowledgements:
     """The ends of one incarnation of a worker, by their rising numbers.
 
-    ``acknowledged_number`` is that of the last end that the worker may forget,
-    ``processed_number`` that of the last one that was processed.
+    ``waiting`` holds those of all workers that wait for the store, so that a
+    commit needs no look at the others. ``acknowledged_number`` is that of the
+    last end that the worker may forget, ``processed_number`` that of the last
+    one that was processed.
     """
 
+    waiting: set[EndAcknowledgements] = field(default_factory=set, repr=False)
     acknowledged_number: int = 0
     processed_number: int = 0
     _unacknowledged: deque[_UnacknowledgedEnd] = field(default_factory=deque)
@@ -48,6 +51,7 @@
         self.processed_number = number
         version = 0 if job is None else job.version
         self._unacknowledged.append(_UnacknowledgedEnd(number, job, version))
+        self.waiting.add(self)
 
     def acknowledge_stored(self) -> None:
         """Acknowledge the ends that are stored by now, in their order."""
@@ -57,6 +61,7 @@
                 return
             self.acknowledged_number = end.number
             self._unacknowledged.popleft()
+        self.waiting.discard(self)
         self._all_acknowledged.set()
 
     def restart(self) -> None:
@@ -64,6 +69,7 @@
         self.acknowledged_number = 0
         self.processed_number = 0
         self._unacknowledged.clear()
+        self.waiting.discard(self)
 
     async def wait(self, *, timeout_s: float) -> None:
         """Wait until all ends are acknowledged, or for ``timeout_s``."""
--- a/src/marjoramwharf/cells/inbox.py
+++ b/src/marjoramwharf/cells/inbox.py
@@ -18,7 +18,11 @@
 )
 from marjoramwharf.errors import JournalDamaged
 from marjoramwharf.ids import JobId
-from marjoramwharf.links.store import PollingStore, StoredValue, WatchBatch
+from marjoramwharf.links.store import (
+    PollingStore,
+    StoredValue,
+    WatchBatch,
+)
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.job_state import Job
 from marjoramwharf.scheduling.job_table import JobTable
@@ -44,6 +48,8 @@
     # Also holds jobs whose request hasn't been read yet.
     _cancelled: set[JobId] = field(default_factory=set)
     _damaged: set[JobId] = field(default_factory=set)
+    # Revisions at which jobs were removed, until a batch is later than that.
+    _removed: dict[JobId, int] = field(default_factory=dict)
 
     async def load(self, store: PollingStore) -> None:
         """Restore all jobs and their progress; raises store failures.
@@ -72,19 +78,38 @@
         now_s = boot_s()
         now_ms = wall_ms()
         for event in batch.events:
-            if event.stored is None:
-                continue
-            request = self._decode_request(event.stored)
-            if request is not None and request.job_id not in self._damaged:
-                self.job_table.add(request, now_s=now_s, now_ms=now_ms)
-                if request.job_id in self._cancelled:
-                    self._cancel_job(request.job_id)
-            self._apply_cancellation(event.key)
+            if event.stored is not None and not self._is_removed(event.stored):
+                self._add_job(event.stored, now_s, now_ms)
+                self._apply_cancellation(event.key)
+        self._removed = {
+            job_id: revision
+            for job_id, revision in self._removed.items()
+            if revision > batch.revision
+        }
         self.on_change()
 
-    def forget(self, job_id: JobId) -> None:
-        """Forget that a job was cancelled, since it has been removed."""
+    def forget(self, job_id: JobId, *, removed_at_revision: int) -> None:
+        """Forget a job that has been removed from the store.
+
+        A batch that was read before may still arrive. The job in it would look
+        like a new one, and all of it would run again.
+        """
         self._cancelled.discard(job_id)
+        self._removed[job_id] = removed_at_revision
+
+    def _is_removed(self, stored: StoredValue) -> bool:
+        """Whether a value is from before the removal of its job."""
+        job_id = JobId(stored.key.rpartition('/')[2])
+        return stored.mod_revision < self._removed.get(job_id, 0)
+
+    def _add_job(self, stored: StoredValue, now_s: float, now_ms: int) -> None:
+        """Add the job of a request, unless the value is none or damaged."""
+        request = self._decode_request(stored)
+        if request is None or request.job_id in self._damaged:
+            return
+        self.job_table.add(request, now_s=now_s, now_ms=now_ms)
+        if request.job_id in self._cancelled:
+            self._cancel_job(request.job_id)
 
     async def _read_progress(self, store: PollingStore) -> _ProgressByJob:
         """Return the progress by job; remember the jobs with a damaged one."""
--- a/src/marjoramwharf/cells/job_cleanup.py
+++ b/src/marjoramwharf/cells/job_cleanup.py
@@ -48,11 +48,12 @@
     ]
     for start in range(0, len(expired), _JOBS_PER_COMMIT):
         batch = expired[start : start + _JOBS_PER_COMMIT]
-        if not await _remove_from_store(store, cell, ownership_guard, batch):
+        revision = await _remove_from_store(store, cell, ownership_guard, batch)
+        if revision is None:
             return
         for job in batch:
             job_table.forget(job.job_id)
-            inbox.forget(job.job_id)
+            inbox.forget(job.job_id, removed_at_revision=revision)
 
 
 def _is_expired(job: Job, min_age_s: float) -> bool:
@@ -67,8 +68,11 @@
     cell: CellId,
     ownership_guard: Guard,
     jobs: Sequence[Job],
-) -> bool:
-    """Delete the keys of some jobs; return whether the store has done so."""
+) -> int | None:
+    """Delete the keys of some jobs.
+
+    Returns the revision of the deletion, ``None`` unless it is certain.
+    """
     writes = [
         Write(key, None)
         for job in jobs
@@ -82,5 +86,5 @@
         outcome = await store.commit([ownership_guard], writes)
     except Failure as failure:
         _LOG.info('finished jobs not removed yet', error=str(failure))
-        return False
-    return isinstance(outcome, Committed)
+        return None
+    return outcome.revision if isinstance(outcome, Committed) else None
--- a/src/marjoramwharf/cells/link_context.py
+++ b/src/marjoramwharf/cells/link_context.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.cells.end_acknowledgements import EndAcknowledgements
 from marjoramwharf.cells.worker_messages import WorkerClient
 from marjoramwharf.ids import TaskId, WorkerId
 from marjoramwharf.scheduling.job_state import Job, Run, RunEnd
@@ -42,7 +43,8 @@
 
     ``hold_ms`` is the length of the leases of runs, which is the same at all
     entries, and ``max_hold_ms`` the longest one that a worker grants.
-    ``stop_ms`` is the longest time that a worker takes to stop a run.
+    ``stop_ms`` is the longest time that a worker takes to stop a run. The
+    ``waiting_acknowledgements`` are those that wait for the store.
     """
 
     worker_client: WorkerClient
@@ -51,3 +53,6 @@
     max_hold_ms: int
     stop_ms: int
     counters: CellCounters = field(default_factory=CellCounters)
+    waiting_acknowledgements: set[EndAcknowledgements] = field(
+        default_factory=set, repr=False
+    )
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -54,9 +54,7 @@
     owner: LinkOwner
     context: LinkContext
     clock: WorkerClock = field(default_factory=WorkerClock)
-    acknowledgements: EndAcknowledgements = field(
-        default_factory=EndAcknowledgements
-    )
+    acknowledgements: EndAcknowledgements = field(init=False)
     orders: WorkerOrders = field(init=False)
     polls_count: int = 0
     is_urgent: bool = False
@@ -65,6 +63,9 @@
 
     def __post_init__(self) -> None:
         """Create the parts that share the clock with this link."""
+        self.acknowledgements = EndAcknowledgements(
+            self.context.waiting_acknowledgements
+        )
         self.orders = WorkerOrders(
             self.worker, self.owner, self.context, self.clock
         )
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -100,8 +100,8 @@
 
     def acknowledge_stored_ends(self) -> None:
         """Acknowledge the ends of runs that are stored by now."""
-        for link in self.links.values():
-            link.acknowledgements.acknowledge_stored()
+        for acknowledgements in tuple(self.context.waiting_acknowledgements):
+            acknowledgements.acknowledge_stored()
 
     def release(self, run: Run, how: RunEnd, *, now_s: float) -> None:
         """Free the resources of a run that has ended and learn from its end."""
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -40,6 +40,9 @@
 from standins.polling_store import PollingMemoryStore
 from standins.simulated_worker import SimulatedWorker
 from standins.simulated_worker_client import MemoryWorkerClient
+from tests.plain_logs import use_plain_tracebacks
+
+use_plain_tracebacks()
 
 CELL = CellId(0)
 SERVICE = 'presses'
