Log what finished jobs spent their time on, and print it by queue

Cause: what a late job waited for could be read only from the lines of one job at a time.

Reading of log files is shared with explain.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -56,6 +56,10 @@
 
 # The planner pauses for this multiple of the time that its last pass took.
 _PAUSE_FACTOR = 1.0
+
+# The least pause while tasks wait for room. Hundreds of polls and ends of runs
+# a second would each cause a pass over all of these tasks otherwise.
+_FULL_PAUSE_S = 0.02
 _MS_PER_S = 1_000
 
 # Covers the error of a former owner's estimate of a worker's clock.
@@ -277,7 +281,7 @@
 
     def _record_finished_job(self, job: Job, now_s: float) -> None:
         self.context.counters.finished_jobs[job.phase] += 1
-        log_finished(job, now_s)
+        log_finished(job, now_s=now_s, now_ms=wall_ms())
 
     def on_polled(self, worker_id: WorkerId) -> None:
         """Update the worker's paces and wake the planner after a poll."""
@@ -295,8 +299,12 @@
                 began_s = boot_s()
                 self._plan()
                 # Leaves processor time to orders and polls during a burst.
-                took_s = boot_s() - began_s
-                await trio.sleep(min(_PLAN_PERIOD_S, took_s * _PAUSE_FACTOR))
+                await trio.sleep(self._pause_after_plan_s(boot_s() - began_s))
+
+    def _pause_after_plan_s(self, took_s: float) -> float:
+        """Return the pause after a pass of the planner that took ``took_s``."""
+        least_s = _FULL_PAUSE_S if self.job_table.ready else 0
+        return min(_PLAN_PERIOD_S, max(least_s, took_s * _PAUSE_FACTOR))
 
     def _next_plan_pause_s(self) -> float:
         due_ms = self.job_table.next_due_ms()
--- a/src/marjoramwharf/cells/decision_log.py
+++ b/src/marjoramwharf/cells/decision_log.py
@@ -10,15 +10,28 @@
 
 # Replaces infinity, which JSON can't represent.
 _MAX_LOGGED_HARM = 1_000_000
+_MS_PER_S = 1_000
 
 
-def log_finished(job: Job, now_s: float) -> None:
-    """Log that a job is done, failed or cancelled."""
+def log_finished(job: Job, *, now_s: float, now_ms: int) -> None:
+    """Log that a job is done, failed or cancelled, and what took its time.
+
+    ``accepted_s`` is the time since the job was accepted, by the clock of the
+    entry that took it, and ``known_s`` that since this owner has known it.
+    """
+    times = job.stage_times
+    accepted_ms = now_ms - job.request.accepted_at_ms
     _LOG.info(
         'job finished',
         job=job.job_id,
+        queue=job.request.queue,
         phase=job.phase.name.lower(),
+        accepted_s=round(accepted_ms / _MS_PER_S, 3),
         known_s=round(now_s - job.known_since_s, 3),
+        retried_s=round(times.retried_s, 3),
+        waited_s=round(times.waited_s, 3),
+        started_s=round(times.started_s, 3),
+        ran_s=round(times.ran_s, 3),
     )
 
 
--- a/src/marjoramwharf/programs/explain.py
+++ b/src/marjoramwharf/programs/explain.py
@@ -9,22 +9,24 @@
 
 from __future__ import annotations
 
-import pathlib
 import sys
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Annotated, Any
+from typing import Annotated
 
 import cappa
-from msgspec import DecodeError
 
-from marjoramwharf.errors import BadSettings
-from marjoramwharf.json_bodies import decode_json
 from marjoramwharf.programs._command_line import run_command
+from marjoramwharf.programs._log_files import (
+    EVENT_FIELD,
+    TIME_FIELD,
+    FilesArg,
+    LogLine,
+    LogReader,
+    read_sources,
+)
 
-_TIME = 'timestamp'
-_EVENT = 'event'
-_HIDDEN = frozenset((_TIME, _EVENT, 'level'))
+_HIDDEN = frozenset((TIME_FIELD, EVENT_FIELD, 'level'))
 
 # Events that explain a job's delay without naming it.
 _CONTEXT_PREFIXES = ('owner:', 'main:', 'store:')
@@ -41,30 +43,12 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """One line of a log, with the name of its file."""
-
-    source: str
-    fields: Mapping[str, Any]
-
-    @property
-    def time(self) -> str:
-        """The timestamp as text that sorts in order of time."""
-        return str(self.fields.get(_TIME, ''))
-
-    @property
-    def event(self) -> str:
-        """The event text, with the prefix of the logging component."""
-        return str(self.fields.get(_EVENT, ''))
-
-
 @dataclass
 class JobTimeline:
     """The log lines that explain one job."""
 
     lines: list[LogLine] = field(default_factory=list)
-    unreadable_count: int = 0
+    reader: LogReader = field(default_factory=LogReader)
 
 
 def build_timeline(
@@ -73,7 +57,7 @@
     """Return the lines of a job and the context events between them."""
     timeline = JobTimeline()
     all_lines = sorted(
-        _parse_lines(sources, timeline),
+        timeline.reader.parse(sources),
         key=lambda line: (line.time, line.source),
     )
     job_lines = [line for line in all_lines if _names_job(line, job_id)]
@@ -107,21 +91,6 @@
     return f'{line.time} {line.source}: {line.event} {details}'
 
 
-def _parse_lines(
-    sources: Mapping[str, Iterable[str]],
-    timeline: JobTimeline,
-) -> Iterator[LogLine]:
-    for source, lines in sources.items():
-        for text in lines:
-            start = text.find('{')
-            try:
-                fields = decode_json(text[max(0, start) :], dict[str, Any])
-            except DecodeError:
-                timeline.unreadable_count += bool(text.strip())
-                continue
-            yield LogLine(source, fields)
-
-
 def _names_job(line: LogLine, job_id: str) -> bool:
     job = str(line.fields.get('job', ''))
     task = str(line.fields.get('task', ''))
@@ -143,34 +112,16 @@
     """Print a timeline of one job from log files or standard input."""
 
     job_id: Annotated[str, cappa.Arg(help='Id of the job.')]
-    files: Annotated[
-        list[pathlib.Path],
-        cappa.Arg(default=(), help='Log files; none: standard input.'),
-    ]
+    files: FilesArg
 
     def run(self) -> int:
         """Print the lines; returns 1 if none of them names the job."""
-        sources = self._sources()
-        timeline = build_timeline(self.job_id, sources)
+        timeline = build_timeline(self.job_id, read_sources(self.files))
         for line in timeline.lines:
             sys.stdout.write(f'{describe(line)}\n')
-        if timeline.unreadable_count:
-            sys.stderr.write(
-                f'{timeline.unreadable_count} lines not readable\n'
-            )
+        timeline.reader.print_unreadable()
         return 0 if timeline.lines else 1
 
-    def _sources(self) -> Mapping[str, Iterable[str]]:
-        if not self.files:
-            return {'stdin': sys.stdin}
-        try:
-            return {
-                path.name: path.read_text(errors='replace').splitlines()
-                for path in self.files
-            }
-        except OSError as failure:
-            raise BadSettings(message=str(failure)) from failure
-
 
 def main() -> int:
     """Run the command line."""
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -67,6 +67,33 @@
     CANCELLED = 3
 
 
+@dataclass(slots=True)
+class StageTimes:
+    """What the steps of a job spent their time on, in seconds.
+
+    Of each step, the run counts that ended it. ``retried_s`` passed from the
+    step's readiness until the task of this run was ready again after other
+    runs, ``waited_s`` until the run was planned, ``started_s`` until it began,
+    and ``ran_s`` until its end was reported.
+    """
+
+    retried_s: float = 0
+    waited_s: float = 0
+    started_s: float = 0
+    ran_s: float = 0
+
+    def add(self, run: Run, *, now_s: float) -> None:
+        """Add the run that ended a step at ``now_s``."""
+        ready_s = run.task.ready_since_s
+        step_ready_s = run.task.step.ready_since_s
+        began_s = run.planned_s if run.started_s is None else run.started_s
+        if step_ready_s is not None:
+            self.retried_s += ready_s - step_ready_s
+        self.waited_s += run.planned_s - ready_s
+        self.started_s += began_s - run.planned_s
+        self.ran_s += now_s - began_s
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One start of a task at a worker.
@@ -139,7 +166,8 @@
     """The tasks of one step in one occurrence.
 
     ``critical_path_ms`` is the estimated time from the start of the step to
-    the end of the longest chain of steps that it begins.
+    the end of the longest chain of steps that it begins. Its first task became
+    ready at ``ready_since_s``.
     ``ended_progress_rates`` are the percentages per second of the runs that
     ended done. ``baseline_headroom`` forecasts the headroom of a serving step;
     ``over_target_counts`` tells by worker how many of its tasks are expected
@@ -157,6 +185,7 @@
     over_target_counts: dict[WorkerId, float] = field(default_factory=dict)
     tasks: list[Task] = field(default_factory=list)
     done_count: int = 0
+    ready_since_s: float | None = None
 
     @property
     def is_done(self) -> bool:
@@ -215,6 +244,7 @@
     has_begun: bool = False
     finished_s: float = 0
     known_since_s: float = 0
+    stage_times: StageTimes = field(default_factory=StageTimes)
 
     @property
     def job_id(self) -> JobId:
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -146,6 +146,8 @@
             _record_progress_rate(run, now_s)
         if how is RunEnd.DONE and not task.step.request.is_lasting:
             self._mark_done(task)
+            if task.step.is_done:
+                job.stage_times.add(run, now_s=now_s)
         elif how is RunEnd.FAILED:
             task.failed_workers.add(run.worker_id)
             self._count_failure(task, max_attempts)
@@ -287,6 +289,8 @@
                 return
         for task in step.tasks:
             if task.is_waiting and task.name not in self.ready:
+                if step.ready_since_s is None:
+                    step.ready_since_s = now_s
                 task.ready_since_s = now_s
                 self.ready[task.name] = task
 
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -86,6 +86,8 @@
     ) -> list[StepPlan]:
         """Plan runs for the ready tasks that fit, and reserve for them."""
         planned: list[StepPlan] = []
+        if not self.job_table.ready:
+            return planned
         unplaceable = UnplaceableSteps()
         pool = CandidatePool(self.fleet, now_s)
         mean_millicores = self._mean_serving_millicores()
--- a/tests/programs/test_explain.py
+++ b/tests/programs/test_explain.py
@@ -48,7 +48,7 @@
             ],
             events,
         )
-        self.assertEqual(1, timeline.unreadable_count)
+        self.assertEqual(1, timeline.reader.unreadable_count)
         self.assertIn('worker=w1', describe(timeline.lines[2]))
 
     def test_unknown_job(self) -> None:
--- a/tests/scheduling/test_job_table.py
+++ b/tests/scheduling/test_job_table.py
@@ -19,6 +19,7 @@
     Run,
     RunEnd,
     RunPhase,
+    Task,
 )
 from marjoramwharf.scheduling.job_table import JobTable
 from tests.scheduling.fixtures import (
@@ -50,6 +51,21 @@
         self._end(runs[1], RunEnd.DONE)
         self.assertEqual(['j.0.1.0'], list(self.job_table.ready))
 
+    def test_stage_times(self) -> None:
+        """Guards against time of a late job that counts for a wrong stage."""
+        job = add_job(self.job_table, 'j', make_step(2), make_step(after=(0,)))
+        first, second = job.occurrences[0].steps[0].tasks
+        self._run(first, began_s=1, ended_s=2)
+        self._run(second, began_s=1, ended_s=3, how=RunEnd.FAILED)
+        self._run(second, began_s=5, ended_s=9)
+        self._run(first_task(job, 1), began_s=10, ended_s=12)
+        times = job.stage_times
+        self.assertIs(JobPhase.DONE, job.phase)
+        self.assertEqual(3, times.retried_s)
+        self.assertEqual(2 + 1, times.waited_s)
+        self.assertEqual(0, times.started_s)
+        self.assertEqual(4 + 2, times.ran_s)
+
     def test_only_failures_count_as_attempts(self) -> None:
         """Guards against a lapsed or stopped run that counts as an attempt."""
         job = add_job(self.job_table, 'j', make_step())
@@ -139,6 +155,20 @@
             build_progress_record(job), build_progress_record(restored)
         )
 
+    def _run(
+        self,
+        task: Task,
+        *,
+        began_s: float,
+        ended_s: float,
+        how: RunEnd = RunEnd.DONE,
+    ) -> None:
+        """Start a task and end it at the given times."""
+        run = start_run(self.job_table, task, self.worker, now_s=began_s)
+        self.job_table.end_run(
+            run, how, checkpoint='', max_attempts=3, now_s=ended_s
+        )
+
     def _end(
         self,
         run: Run,
