--- a/src/marjoramwharf/batch/journal.py
+++ b/src/marjoramwharf/batch/journal.py
@@ -16,18 +16,23 @@
 from typing import TypeAlias
 
 import trio
-from msgspec import Struct, msgpack
-
+from msgspec import msgpack
+
+from marjoramwharf.batch._journal_records import (
+    LogEntry,
+    entry_name,
+    part_name,
+    read_state,
+    snapshot_name,
+)
 from marjoramwharf.batch.events import (
     Event,
     ShardState,
     UndoLog,
     apply_event,
-    replay,
 )
 from marjoramwharf.errors import (
     Failure,
-    JournalDamaged,
     NotOwner,
     StoreAnswerLost,
     StoreBudgetSpent,
@@ -37,7 +42,6 @@
 from marjoramwharf.links.store import (
     Conflict,
     Guard,
-    PrefixSnapshot,
     Store,
     Urgency,
     Write,
@@ -59,13 +63,6 @@
 _RETRY_AFTER_S = 2.0
 
 
-class LogEntry(Struct, frozen=True, array_like=True):
-    """One group commit; the nonce identifies the write that stored it."""
-
-    nonce: str
-    events: tuple[Event, ...]
-
-
 @dataclass(slots=True, eq=False)
 class _PendingProposal:
     """A queued proposal; ``failure`` is set if its commit failed."""
@@ -187,11 +184,11 @@
         """
         body = self.state.encode_snapshot()
         size = self._part_bytes
-        name = _snapshot_name(self._last_seq)
+        name = snapshot_name(self._last_seq)
         count = -(-len(body) // size)
         parts = [
             Write(
-                f'{self._prefix}snap/{name}/{_part_name(index, count)}',
+                f'{self._prefix}snap/{name}/{part_name(index, count)}',
                 body[index * size : (index + 1) * size],
             )
             for index in range(count)
@@ -268,7 +265,7 @@
         return events
 
     async def _write_entry(self, events: list[Event]) -> Failure | None:
-        name = _entry_name(self._last_seq + 1)
+        name = entry_name(self._last_seq + 1)
         key = f'{self._prefix}log/{name}'
         body = msgpack.encode(LogEntry(random_id(), tuple(events)))
         failure = await self._write_until_settled(key, body)
@@ -361,55 +358,3 @@
     return StoreAnswerLost(
         message='ownership ended before the outcome of the write was known',
     )
-
-
-def _snapshot_name(through_seq: int) -> str:
-    # The nonce keeps the parts of snapshots by two owners apart.
-    nonce = random_id()
-    through = _entry_name(through_seq)
-    return f'{through}-{nonce}'
-
-
-def _part_name(index: int, count: int) -> str:
-    number, total = str(index).zfill(5), str(count).zfill(5)
-    return f'{number}-{total}'
-
-
-def _entry_name(seq: int) -> str:
-    return str(seq).zfill(12)
-
-
-def read_state(reading: PrefixSnapshot) -> tuple[ShardState, int]:
-    """Restore a shard's state; return it and the last log entry's number."""
-    entries: dict[int, bytes] = {}
-    snapshots: dict[str, dict[str, bytes]] = {}
-    for stored in reading.found:
-        parent, _, last = stored.key.rpartition('/')
-        if '/log/' in stored.key:
-            entries[int(last)] = stored.body
-        else:
-            parts = snapshots.setdefault(parent.rpartition('/')[2], {})
-            parts[last] = stored.body
-    through, snapshot = _newest_complete_snapshot(snapshots)
-    last_seq = max(entries, default=through)
-    events: list[Event] = []
-    for seq in range(through + 1, last_seq + 1):
-        if seq not in entries:
-            raise JournalDamaged(message=f'log entry {seq} is missing')
-        entry = msgpack.decode(entries[seq], type=LogEntry)
-        events.extend(entry.events)
-    return replay(snapshot, events), max(through, last_seq)
-
-
-def _newest_complete_snapshot(
-    snapshots: dict[str, dict[str, bytes]],
-) -> tuple[int, bytes | None]:
-    """Return the newest complete snapshot's last entry number, and its body."""
-    # Part names are <index>-<count>, snapshot names <last entry>-<nonce>.
-    for name in sorted(snapshots, reverse=True):
-        parts = snapshots[name]
-        count = int(min(parts).rpartition('-')[2])
-        if len(parts) == count:
-            body = b''.join(parts[key] for key in sorted(parts))
-            return int(name.partition('-')[0]), body
-    return 0, None
--- a/src/marjoramwharf/machines/agent.py
+++ b/src/marjoramwharf/machines/agent.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import functools
-import hashlib
 import ssl
 from dataclasses import replace
 from typing import TypeVar
@@ -19,7 +18,6 @@
 from opentelemetry import trace
 
 from marjoramwharf.errors import Reason, WorkerUnreachable
-from marjoramwharf.http_bodies import is_header_safe
 from marjoramwharf.ids import (
     CallId,
     EntryId,
@@ -28,13 +26,19 @@
     Incarnation,
     TaskId,
 )
-from marjoramwharf.json_bodies import decode_json
 from marjoramwharf.machines._aborted_connections import AbortedConnections
+from marjoramwharf.machines._agent_answers import (
+    decode_reply,
+    parse_refusal,
+    read_answer,
+    read_incarnation,
+    read_limited,
+    sanitize_answer,
+)
 from marjoramwharf.machines.agent_messages import (
     EXPECTED_INCARNATION_HEADER,
     INCARNATION_HEADER,
     LeaseRequest,
-    RefusalReply,
     StopRequest,
     ThrottleRequest,
 )
@@ -53,11 +57,6 @@
 )
 from marjoramwharf.tracing import start_span, trace_headers
 
-_REFUSED_STATUS = 409
-_VALID_STATUSES = range(200, 600)
-_DEFAULT_CONTENT_TYPE = 'application/octet-stream'
-_MAX_ANSWER_BYTES = 16_777_216
-_LENGTH_DIGITS = len(str(_MAX_ANSWER_BYTES))
 # A settle reply contains the answer in base64, which adds a third.
 _MAX_REPLY_BYTES = 24_000_000
 _MS_PER_S = 1_000
@@ -174,7 +173,7 @@
         if it is higher than ``epoch``, the lease was not extended.
         """
         body = LeaseRequest(epoch, self._entry_id, revoked, lease_ms)
-        return _decode_reply(
+        return decode_reply(
             await self._send_control('PUT', '/lease', body), LeaseReply
         )
 
@@ -183,8 +182,8 @@
         reply = await self._send_control(
             'PUT', f'/tasks/{start.task_id}', start
         )
-        refusal = _parse_refusal(reply.status_code, reply.content)
-        return refusal or _decode_reply(reply, TaskReport)
+        refusal = parse_refusal(reply.status_code, reply.content)
+        return refusal or decode_reply(reply, TaskReport)
 
     async def stop_task(
         self,
@@ -196,7 +195,7 @@
         """Stop an attempt; phase ``UNKNOWN`` proves that it never ran."""
         body = StopRequest(fence, with_checkpoint)
         reply = await self._send_control('POST', f'/tasks/{task_id}/stop', body)
-        return _decode_reply(reply, TaskReport)
+        return decode_reply(reply, TaskReport)
 
     async def throttle_task(
         self,
@@ -209,11 +208,11 @@
         reply = await self._send_control(
             'POST', f'/tasks/{task_id}/throttle', body
         )
-        return _decode_reply(reply, TaskReport)
+        return decode_reply(reply, TaskReport)
 
     async def usage(self) -> UsageReport:
         """Return the worker's latest usage report, which is some time old."""
-        return _decode_reply(
+        return decode_reply(
             await self._send_control('GET', '/usage', None), UsageReport
         )
 
@@ -226,7 +225,7 @@
         return outcome
 
     async def _store_incarnation(self, response: httpx.Response) -> None:
-        self._incarnation = _read_incarnation(response) or self._incarnation
+        self._incarnation = read_incarnation(response) or self._incarnation
 
     async def _exchange_run(self, call: Call) -> CallOutcome:
         """Send a run and read its answer; not connected, it is refused."""
@@ -243,7 +242,7 @@
         except httpx.HTTPError:
             return CallInDoubt(call.call_id, Reason.WORKER_UNREACHABLE)
         try:
-            return await _read_answer(call.call_id, response)
+            return await read_answer(call.call_id, response)
         except httpx.HTTPError:
             return CallInDoubt(call.call_id, Reason.ANSWER_CUT)
         finally:
@@ -256,18 +255,18 @@
         reply = await self._send_control(
             'POST', f'/calls/{call_id}/{action}', None
         )
-        settled = _decode_reply(reply, SettleReply)
+        settled = decode_reply(reply, SettleReply)
         if settled.answer is not None:
             if settled.answer.call_id != call_id:
                 message = f'{action}: answer to another call'
                 raise WorkerUnreachable(message=message)
-            answer = _sanitize_answer(settled.answer)
+            answer = sanitize_answer(settled.answer)
             if not isinstance(answer, CallAnswer):
                 raise WorkerUnreachable(
                     message=f'{action}: answer with an invalid status'
                 )
             settled = replace(settled, answer=answer)
-        return replace(settled, incarnation=_read_incarnation(reply))
+        return replace(settled, incarnation=read_incarnation(reply))
 
     async def _send_control(
         self, method: str, path: str, body: object
@@ -307,7 +306,7 @@
         """Send a request and return its reply with the whole body."""
         response = await self._client.send(request, stream=True)
         try:
-            content = await _read_limited(response, _MAX_REPLY_BYTES)
+            content = await read_limited(response, _MAX_REPLY_BYTES)
         finally:
             with trio.CancelScope(shield=True):
                 await response.aclose()
@@ -319,7 +318,7 @@
         return httpx.Response(
             response.status_code,
             headers={
-                INCARNATION_HEADER: _read_incarnation(response) or '',
+                INCARNATION_HEADER: read_incarnation(response) or '',
             },
             content=content,
             request=request,
@@ -342,87 +341,3 @@
     if call.incarnation is not None:
         headers[EXPECTED_INCARNATION_HEADER] = call.incarnation
     return headers
-
-
-async def _read_answer(
-    call_id: CallId,
-    response: httpx.Response,
-) -> CallOutcome:
-    """Read the answer of a run; an invalid one leaves the call in doubt."""
-    if response.headers.get('X-Call-Id') != call_id:
-        return CallInDoubt(call_id, Reason.ANSWER_CROSSED)
-    # A truncated or otherwise invalid answer is reported as ``ANSWER_CUT``.
-    length = response.headers.get('Content-Length', '')
-    if not length.isdecimal() or not length.isascii():
-        return CallInDoubt(call_id, Reason.ANSWER_CUT)
-    if len(length) > _LENGTH_DIGITS or int(length) > _MAX_ANSWER_BYTES:
-        return CallInDoubt(call_id, Reason.BODY_TOO_LARGE)
-    # Read raw: a small compressed body could exceed the limit when decoded.
-    body = await _read_limited(response, int(length))
-    digest = hashlib.sha256(body).hexdigest()
-    expected = (int(length), response.headers.get('X-Body-Sha256'))
-    if (len(body), digest) != expected:
-        return CallInDoubt(call_id, Reason.ANSWER_CUT)
-    refusal = _parse_refusal(response.status_code, body)
-    if refusal is not None:
-        return CallRefused(call_id, refusal)
-    return _sanitize_answer(
-        CallAnswer(
-            call_id,
-            response.status_code,
-            response.headers.get('Content-Type', ''),
-            body,
-        ),
-    )
-
-
-async def _read_limited(response: httpx.Response, limit_bytes: int) -> bytes:
-    """Read a body, up to and with the first chunk that exceeds the limit.
-
-    The result is then too long; the caller checks this.
-    """
-    body = bytearray()
-    async for chunk in response.aiter_raw():
-        body.extend(chunk)
-        if len(body) > limit_bytes:
-            break
-    return bytes(body)
-
-
-def _sanitize_answer(answer: CallAnswer) -> CallOutcome:
-    """Return an answer that can be forwarded to a caller.
-
-    With an invalid status the call is in doubt, as after a truncated answer.
-    An invalid content type is replaced by the default.
-    """
-    if answer.status not in _VALID_STATUSES:
-        return CallInDoubt(answer.call_id, Reason.ANSWER_CUT)
-    if answer.content_type and is_header_safe(answer.content_type):
-        return answer
-    return replace(answer, content_type=_DEFAULT_CONTENT_TYPE)
-
-
-def _read_incarnation(response: httpx.Response) -> Incarnation | None:
-    incarnation = response.headers.get(INCARNATION_HEADER, '')
-    if not incarnation or not is_header_safe(incarnation):
-        return None
-    return Incarnation(incarnation)
-
-
-def _parse_refusal(status: int, body: bytes) -> WorkerRefusal | None:
-    """Parse a refusal; ``None`` if the service itself sent the response."""
-    if status != _REFUSED_STATUS:
-        return None
-    try:
-        return decode_json(body, RefusalReply).refused
-    except msgspec.MsgspecError:
-        return None
-
-
-def _decode_reply(reply: httpx.Response, model: type[_Reply]) -> _Reply:
-    try:
-        return decode_json(reply.raise_for_status().content, model)
-    except (httpx.HTTPError, msgspec.MsgspecError) as failure:
-        raise WorkerUnreachable(
-            message=f'invalid reply of the worker: {failure}'
-        ) from failure
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -197,6 +197,18 @@
                 await trio.sleep(0.02)
                 self.check_single_runs()
 
+    async def wait_until_done(
+        self, *requests: JobRequest, limit_s: float = 60
+    ) -> None:
+        """Wait until the owner shows all these jobs as done."""
+        await self.wait_until(
+            lambda: all(
+                self.state(request) is PublicJobState.DONE
+                for request in requests
+            ),
+            limit_s=limit_s,
+        )
+
     def state(self, request: JobRequest) -> PublicJobState | None:
         """Return the state of a job that the current owner shows."""
         for candidate in self.candidates:
--- a/tests/cells/test_cell.py
+++ b/tests/cells/test_cell.py
@@ -66,12 +66,7 @@
             for request in requests:
                 await cluster.submit(request)
             before = cluster.store.commits_count
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.state(request) is PublicJobState.DONE
-                    for request in requests
-                ),
-            )
+            await cluster.wait_until_done(*requests)
             # On average one call stores the starts and ends of four tasks.
             self.assertLess(cluster.store.commits_count - before, 12)
 
@@ -88,9 +83,7 @@
                 for task in worker.running
             }
             self.assertFalse(running & set(first))
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             self.assertEqual(5, cluster.starts().total())
 
     async def _failed_job(self) -> None:
@@ -137,9 +130,7 @@
             cluster.spawn(nursery, 'e1')
             request = job_request('aa', step(4, is_gang=True))
             await cluster.submit(request)
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             numbers = {
                 number
                 for worker in cluster.workers.values()
@@ -162,9 +153,7 @@
             self.assertEqual(0, cluster.starts().total())
             await trio.sleep(5.2)
             self.assertEqual(2, cluster.starts().total())
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
 
 
 class FaultTests(unittest.TestCase):
@@ -234,12 +223,7 @@
                 await cluster.submit(request)
             await cluster.wait_until(lambda: cluster.starts().total() > 4)
             first.scope.cancel()
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.state(request) is PublicJobState.DONE
-                    for request in requests
-                ),
-            )
+            await cluster.wait_until_done(*requests)
             self.assertEqual({1}, set(cluster.starts().values()))
 
     async def _start_answer_is_lost(self) -> None:
@@ -248,9 +232,7 @@
             cluster.worker_client.start_answers_to_lose = 2
             request = job_request('aa')
             await cluster.submit(request)
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             self.assertEqual([1], list(cluster.starts().values()))
 
     async def _run_ended_unseen(self) -> None:
@@ -264,9 +246,7 @@
             cluster.worker_client.hold_answers_to_lose = 2
             request = job_request('aa', payload='ms=50')
             await cluster.submit(request)
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             self.assertEqual([1], list(cluster.starts().values()))
 
     async def _late_start(self) -> None:
@@ -279,9 +259,7 @@
             for late in cluster.worker_client.delayed_orders:
                 late()
             cluster.check_single_runs()
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             self.assertEqual([1], list(cluster.starts().values()))
 
     async def _late_start_of_former_owner(self) -> None:
@@ -299,9 +277,7 @@
             await cluster.wait_until(lambda: cluster.starts().total() == 1)
             await trio.sleep(5)
             cluster.worker_client.delayed_orders[0]()
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             self.assertEqual([1], list(cluster.starts().values()))
 
     async def _worker_is_cut(self) -> None:
@@ -342,9 +318,7 @@
             cluster.store.is_down = True
             await trio.sleep(5)
             cluster.store.is_down = False
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             self.assertEqual([1], list(cluster.starts().values()))
 
     async def _write_answer_is_lost(self) -> None:
@@ -355,9 +329,7 @@
             request = job_request('aa')
             await cluster.submit(request)
             cluster.store.answers_to_lose = 2
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             self.assertIs(cell, candidate.cell)
 
     async def _late_write(self) -> None:
@@ -367,9 +339,7 @@
             request = job_request('aa')
             await cluster.submit(request)
             cluster.store.commits_to_delay = 1
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             key = progress_key(CELL, request.job_id)
             last = cluster.store.state.stored[key]
             for late in cluster.store.delayed_commits:
--- a/tests/cells/test_histories.py
+++ b/tests/cells/test_histories.py
@@ -17,7 +17,6 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from marjoramwharf.cells.job_status import PublicJobState
 from marjoramwharf.errors import LeaseEnded
 from marjoramwharf.ids import WorkerId
 from standins.simulated_worker import SimulatedWorker
@@ -238,13 +237,7 @@
             ):
                 fault(cluster, 0)
             _deliver_late_starts(cluster, 0)
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.state(request) is PublicJobState.DONE
-                    for request in requests
-                ),
-                limit_s=90,
-            )
+            await cluster.wait_until_done(*requests, limit_s=90)
             _deliver_late_starts(cluster, 0)
             await self._check_runs_for(cluster, 1)
             self._check_no_start_after_end(cluster)
--- a/tests/cells/test_late_answers.py
+++ b/tests/cells/test_late_answers.py
@@ -13,7 +13,6 @@
 
 import trio
 
-from marjoramwharf.cells.job_status import PublicJobState
 from marjoramwharf.cells.records import progress_prefix
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.links.store import Committed, Conflict, Guard, Write
@@ -120,12 +119,7 @@
             ]
             for request in requests:
                 await cluster.submit(request)
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.state(request) is PublicJobState.DONE
-                    for request in requests
-                ),
-            )
+            await cluster.wait_until_done(*requests)
             self.assertEqual({1}, set(cluster.starts().values()))
 
     async def _owner_stands_still(self) -> None:
@@ -143,12 +137,7 @@
                 await cluster.submit(request)
             await cluster.wait_until(lambda: cluster.starts().total() > 4)
             owner.gate.freeze(1.9)
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.state(request) is PublicJobState.DONE
-                    for request in requests
-                ),
-            )
+            await cluster.wait_until_done(*requests)
             self.assertEqual({1}, set(cluster.starts().values()))
 
     async def _silent_worker(self) -> None:
@@ -166,9 +155,7 @@
             cluster.worker_client.unreachable.add(holder)
             await trio.sleep(4)
             cluster.worker_client.unreachable.clear()
-            await cluster.wait_until(
-                lambda: cluster.state(request) is PublicJobState.DONE,
-            )
+            await cluster.wait_until_done(request)
             self.assertEqual([1], list(cluster.starts().values()))
 
     async def _order_leaves_late(self) -> None:
--- a/tests/cells/test_restarts.py
+++ b/tests/cells/test_restarts.py
@@ -7,7 +7,6 @@
 import trio
 
 from marjoramwharf.cells.config_cache import ConfigCache
-from marjoramwharf.cells.job_status import PublicJobState
 from marjoramwharf.links.store import (
     StoredValue,
     StoreEvent,
@@ -44,9 +43,7 @@
             first = cluster.spawn(nursery, 'e1')
             early = job_request('a', step(12))
             await cluster.submit(early)
-            await cluster.wait_until(
-                lambda: cluster.state(early) is PublicJobState.DONE
-            )
+            await cluster.wait_until_done(early)
             first.scope.cancel()
             left = next(iter(cluster.workers))
             started_count = len(cluster.workers[left].starts)
@@ -56,12 +53,7 @@
             for request in later:
                 await cluster.submit(request)
             cluster.spawn(nursery, 'e2')
-            await cluster.wait_until(
-                lambda: all(
-                    cluster.state(request) is PublicJobState.DONE
-                    for request in later
-                )
-            )
+            await cluster.wait_until_done(*later)
             self.assertEqual(started_count, len(cluster.workers[left].starts))
 
 
