Let the stand-in workers end runs at their time, and tell their history

Cause: a stand-in worker ended runs when it was next asked, and let a lease that expired later take runs that were complete before; a soak needs the true times, and faults that it can begin and end from outside.

Change: runs end when they are complete or when their lease expires; /history has the runs of all incarnations, /control loses answers, refuses, drops history and restarts a worker.

--- a/standins/platform_endpoints.py
+++ b/standins/platform_endpoints.py
@@ -9,7 +9,7 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -27,7 +27,10 @@
 from marjoramwharf.links.http_server import HttpRequest, HttpResponse
 from marjoramwharf.links.store import Guard, StoredValue, StoreEvent, Write
 from standins.kv_state import KeyValueState
-from standins.simulated_worker import SimulatedWorker
+from standins.simulated_worker import RunHistory, SimulatedWorker
+
+# Begins and ends faults; the users' platform has no such path.
+CONTROL_PATH = '/control'
 
 _MS_PER_S = 1_000
 _PAGE_ITEMS_COUNT = 500
@@ -60,6 +63,8 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one call."""
+        if request.target == CONTROL_PATH:
+            return self._control(json.loads(request.body))
         if self.refuse:
             return json_reply({}, 503)
         self.state.expire_due_leases(trio.current_time())
@@ -77,6 +82,14 @@
             raise trio.BrokenResourceError
         return reply
 
+    def _control(self, fault: dict[str, Any]) -> HttpResponse:
+        """Begin or end a fault, as a test asks for it."""
+        self.refuse = fault.get('refuse', self.refuse)
+        self.answers_to_lose += fault.get('answers_to_lose', 0)
+        if fault.get('compact'):
+            self.state.compact()
+        return json_reply({})
+
     def _answer_read(
         self, call: str, query: dict[str, str]
     ) -> HttpResponse | None:
@@ -183,14 +196,16 @@
 
 @dataclass
 class WorkerEndpoint:
-    """Serves a ``SimulatedWorker``, and its starts at ``/starts`` for checks.
+    """Serves a ``SimulatedWorker``, and what it did for checks.
 
-    The next ``start_answers_to_lose`` starts are carried out, and their
+    ``/starts`` has the starts of this incarnation, and ``/history`` the runs of
+    all incarnations. The next ``start_answers_to_lose`` starts are carried out, and their
     connections aborted without an answer.
     """
 
     worker: SimulatedWorker
     start_answers_to_lose: int = 0
+    former_history: list[RunHistory] = field(default_factory=list)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one call."""
@@ -198,8 +213,14 @@
         path = urlsplit(request.target).path
         if path == '/hold':
             return await self._hold(body)
+        if path == CONTROL_PATH:
+            return self._control(body)
         if path == '/starts':
             return json_reply(self.worker.starts)
+        if path == '/history':
+            self.worker.advance(trio.current_time())
+            rows = [*self.former_history, *self.worker.history]
+            return json_reply([asdict(row) for row in rows])
         orders: dict[str, Callable[[Any], OrderAnswer]] = {
             '/run-start': self._start,
             '/run-stop': self._stop,
@@ -217,6 +238,23 @@
             return json_reply({'ClockMs': answer.clock_ms})
         return json_reply({'ClockMs': answer.clock_ms, 'Reason': reason}, 409)
 
+    def _control(self, fault: dict[str, Any]) -> HttpResponse:
+        """Begin a fault, as a test asks for it."""
+        self.start_answers_to_lose += fault.get('start_answers_to_lose', 0)
+        if fault.get('restart'):
+            self._restart(trio.current_time())
+        return json_reply({})
+
+    def _restart(self, now_s: float) -> None:
+        """Go on as another incarnation; all that ran has ended with this."""
+        self.worker.advance(now_s)
+        for row in self.worker.history:
+            if row.ended_s is None:
+                row.ended_s = now_s
+                row.how = 'crashed'
+        self.former_history += self.worker.history
+        self.worker = SimulatedWorker(now_s)
+
     def _start(self, body: dict[str, Any]) -> OrderAnswer:
         order = StartOrder(
             task=TaskId(body['Task']),
--- a/standins/platform_process.py
+++ b/standins/platform_process.py
@@ -94,8 +94,14 @@
     return json.dumps(body).encode()
 
 
-async def serve_platform(port: int, workers_count: int) -> None:
-    """Serve the store and the workers until cancelled."""
+async def serve_platform(
+    port: int, workers_count: int, listed_offset: int = 0
+) -> None:
+    """Serve the store and the workers until cancelled.
+
+    The workers are listed with their ports and ``listed_offset`` more, where a
+    proxy may listen.
+    """
     store = StoreEndpoint()
     store.state.apply([Write('op/config', configuration(1))])
     async with trio.open_nursery() as nursery:
@@ -104,7 +110,7 @@
             listener = await open_listener(HOST, port + number)
             nursery.start_soon(HttpServer(endpoint.handle).serve, listener)
             rack = 'r1' if number % 2 else 'r2'
-            listing = worker_listing(port + number, rack)
+            listing = worker_listing(port + number + listed_offset, rack)
             store.state.apply([Write(f'servers/w{number}', listing)])
         listener = await open_listener(HOST, port)
         nursery.start_soon(HttpServer(store.handle).serve, listener)
@@ -117,8 +123,11 @@
     parser = argparse.ArgumentParser(prog='platform_process')
     parser.add_argument('--port', type=int, required=True)
     parser.add_argument('--workers', type=int, default=4)
+    parser.add_argument('--listed-offset', type=int, default=0)
     options = parser.parse_args()
-    trio.run(serve_platform, options.port, options.workers)
+    trio.run(
+        serve_platform, options.port, options.workers, options.listed_offset
+    )
 
 
 if __name__ == '__main__':
--- a/standins/simulated_worker.py
+++ b/standins/simulated_worker.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from dataclasses import dataclass, field
 
@@ -33,6 +34,22 @@
 _DEFAULT_MS = 100
 
 
+@dataclass(slots=True)
+class RunHistory:
+    """What a worker did with one run, for checks after the fact.
+
+    ``ended_s`` is ``None`` while the run is at work, and ``acknowledged_s``
+    until the owner has acknowledged the end. ``how`` is the way it ended.
+    """
+
+    task: TaskId
+    number: int
+    started_s: float
+    ended_s: float | None = None
+    how: str = ''
+    acknowledged_s: float | None = None
+
+
 @dataclass(slots=True)
 class _Run:
     task: TaskId
@@ -40,8 +57,15 @@
     payload: str
     started_s: float
     duration_ms: float
+    history: RunHistory
     pace_percent: int = _FULL_PERCENT
 
+    def complete_at_s(self) -> float:
+        """Return when the run is complete, infinity if it makes no progress."""
+        if 'hang' in self.payload or 'last' in self.payload:
+            return math.inf
+        return self.started_s + self.duration_ms / _MS_PER_S
+
 
 @dataclass(slots=True)
 class SimulatedWorker:
@@ -51,6 +75,7 @@
     check: ``starts`` has every start that was carried out, ``start_times``
     their times, and ``acknowledged_completions`` the tasks that ended as done
     and whose end the owner acknowledged, each with the time of its end.
+    ``history`` has all runs.
     """
 
     born_s: float
@@ -64,26 +89,31 @@
     acknowledged_completions: list[tuple[TaskId, float]] = field(
         default_factory=list
     )
+    history: list[RunHistory] = field(default_factory=list)
     _unacknowledged_ends: list[EndReport] = field(default_factory=list)
     _highest_refused_run: dict[TaskId, int] = field(default_factory=dict)
     _next_end_number: int = 1
-    _end_times: dict[int, float] = field(default_factory=dict)
-    _now_s: float = 0
+    _ended_runs: dict[int, RunHistory] = field(default_factory=dict)
 
     def clock_ms(self, now_s: float) -> int:
         """Return the time of the worker's own clock."""
         return int((now_s - self.born_s) * _MS_PER_S)
 
     def advance(self, now_s: float) -> None:
-        """End the runs that are complete, and all if the lease has expired."""
-        self._now_s = now_s
-        if self.running and self.clock_ms(now_s) > self.lease_end_ms:
-            for run in tuple(self.running.values()):
-                self._end_run(run, RunEnd.LAPSED)
+        """End the runs that are complete, and all if the lease has expired.
+
+        Each ends at the time at which it was complete or its lease expired,
+        which may be long before ``now_s``.
+        """
+        lapsed_s = self.born_s + self.lease_end_ms / _MS_PER_S
         for run in tuple(self.running.values()):
-            if self._progress_percent(run, now_s) >= _FULL_PERCENT:
+            done_s = run.complete_at_s()
+            if done_s <= min(now_s, lapsed_s):
                 failed = 'fail' in run.payload
-                self._end_run(run, RunEnd.FAILED if failed else RunEnd.DONE)
+                how = RunEnd.FAILED if failed else RunEnd.DONE
+                self._end_run(run, how, done_s)
+            elif lapsed_s < now_s:
+                self._end_run(run, RunEnd.LAPSED, lapsed_s)
 
     def start(self, order: StartOrder, now_s: float) -> OrderAnswer:
         """Start a run, or refuse the order."""
@@ -101,12 +131,15 @@
             return OrderAnswer(OrderOutcome.RUN_TOO_OLD, clock_ms)
         if len(self.running) >= self.capacity:
             return OrderAnswer(OrderOutcome.NO_ROOM, clock_ms)
+        history = RunHistory(order.task, order.run, now_s)
+        self.history.append(history)
         self.running[order.task] = _Run(
             order.task,
             order.run,
             order.payload,
             now_s,
             _duration_ms(order),
+            history,
         )
         self.starts.append((order.task, order.run, order.fence))
         self.start_times.append((order.task, now_s))
@@ -121,7 +154,7 @@
         self._refuse_runs_up_to(order.task, order.run)
         run = self.running.get(order.task)
         if run is not None and run.number <= order.run:
-            self._end_run(run, RunEnd.STOPPED)
+            self._end_run(run, RunEnd.STOPPED, now_s)
         return OrderAnswer(OrderOutcome.ACCEPTED, clock_ms)
 
     def pace(self, order: PaceOrder, now_s: float) -> OrderAnswer:
@@ -142,7 +175,7 @@
             return HoldReport(OrderOutcome.FENCED)
         if order.expires_ms is not None:
             self._extend_lease(order.expires_ms, clock_ms)
-        self._remove_acknowledged(order.acknowledged_end)
+        self._remove_acknowledged(order.acknowledged_end, now_s)
         return HoldReport(
             outcome=OrderOutcome.ACCEPTED,
             clock_ms=clock_ms,
@@ -165,11 +198,16 @@
         """Whether the owner has ends left to acknowledge."""
         return bool(self._unacknowledged_ends)
 
-    def _remove_acknowledged(self, acknowledged_end: int) -> None:
+    def _remove_acknowledged(self, acknowledged_end: int, now_s: float) -> None:
         for ended in self._unacknowledged_ends:
-            if ended.number <= acknowledged_end and ended.how is RunEnd.DONE:
-                ended_s = self._end_times[ended.number]
-                self.acknowledged_completions.append((ended.task, ended_s))
+            if ended.number > acknowledged_end:
+                continue
+            history = self._ended_runs[ended.number]
+            history.acknowledged_s = now_s
+            if ended.how is RunEnd.DONE and history.ended_s is not None:
+                self.acknowledged_completions.append(
+                    (ended.task, history.ended_s)
+                )
         self._unacknowledged_ends = [
             ended
             for ended in self._unacknowledged_ends
@@ -187,18 +225,20 @@
         self.lease_end_ms = max(self.lease_end_ms, allowed_ms)
 
     def _progress_percent(self, run: _Run, now_s: float) -> float:
-        if 'hang' in run.payload or 'last' in run.payload:
+        if run.complete_at_s() == math.inf:
             return 0
         passed_ms = (now_s - run.started_s) * _MS_PER_S
         return _FULL_PERCENT * passed_ms / run.duration_ms
 
-    def _end_run(self, run: _Run, how: RunEnd) -> None:
+    def _end_run(self, run: _Run, how: RunEnd, ended_s: float) -> None:
+        run.history.ended_s = ended_s
+        run.history.how = how.value
         self.running.pop(run.task, None)
         self._refuse_runs_up_to(run.task, run.number)
         self._unacknowledged_ends.append(
             EndReport(self._next_end_number, run.task, run.number, how, ''),
         )
-        self._end_times[self._next_end_number] = self._now_s
+        self._ended_runs[self._next_end_number] = run.history
         self._next_end_number += 1
 
     def _refuse_runs_up_to(self, task: TaskId, number: int) -> None:
