--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real programs under faults from outside."""
--- /dev/null
+++ b/tools/soak/link.py
@@ -0,0 +1,117 @@
+"""A TCP link on loopback that can be delayed, cut one way, silenced or reset."""
+
+from __future__ import annotations
+
+import enum
+import socket
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import trio
+
+from marjoramwharf.links.http_server import open_listener
+from marjoramwharf.links.tcp import open_stream
+
+HOST = '127.0.0.1'
+
+_CHUNK_BYTES = 65_536
+_HELD_PAUSE_S = 0.02
+_LINGER = struct.pack('ii', 1, 0)  # closing sends a reset
+
+
+@enum.unique
+class LinkMode(enum.Enum):
+    """What a link does with bytes that arrive while it is in this mode."""
+
+    OPEN = 'open'
+    SILENT = 'silent'
+    NO_REQUESTS = 'no_requests'
+    NO_ANSWERS = 'no_answers'
+
+
+@enum.unique
+class _Direction(enum.Enum):
+    REQUESTS = 'requests'
+    ANSWERS = 'answers'
+
+
+_HELD_DIRECTIONS = {
+    LinkMode.OPEN: frozenset[_Direction](),
+    LinkMode.SILENT: frozenset(_Direction),
+    LinkMode.NO_REQUESTS: frozenset((_Direction.REQUESTS,)),
+    LinkMode.NO_ANSWERS: frozenset((_Direction.ANSWERS,)),
+}
+
+
+@dataclass(eq=False)
+class Link:
+    """Passes connections to a port on to another one.
+
+    Bytes that are held up by the mode arrive once it changes, unless the
+    connection has ended by then. ``delay_s`` is added to each chunk.
+    """
+
+    port: int
+    target_port: int
+    mode: LinkMode = LinkMode.OPEN
+    delay_s: float = 0
+    _streams: set[trio.SocketStream] = field(default_factory=set)
+
+    async def serve(self) -> None:
+        """Accept connections until cancelled."""
+        listener = await open_listener(HOST, self.port)
+        await trio.serve_listeners(self._pass_connection, [listener])
+
+    def heal(self) -> None:
+        """Pass bytes on without a delay from now on."""
+        self.mode = LinkMode.OPEN
+        self.delay_s = 0
+
+    async def reset(self) -> None:
+        """Reset all connections; new ones work."""
+        for stream in tuple(self._streams):
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
+            await trio.aclose_forcefully(stream)
+
+    async def _pass_connection(self, caller: trio.SocketStream) -> None:
+        try:
+            server = await open_stream(HOST, self.target_port)
+        except OSError:
+            await trio.aclose_forcefully(caller)
+            return
+        ends = {caller, server}
+        self._streams |= ends
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    self._pump, caller, server, _Direction.REQUESTS
+                )
+                nursery.start_soon(
+                    self._pump, server, caller, _Direction.ANSWERS
+                )
+        finally:
+            self._streams -= ends
+            await _close(ends)
+
+    async def _pump(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        direction: _Direction,
+    ) -> None:
+        """Pass chunks on until either side ends the connection."""
+        try:
+            while chunk := await source.receive_some(_CHUNK_BYTES):
+                await trio.sleep(self.delay_s)
+                while direction in _HELD_DIRECTIONS[self.mode]:
+                    await trio.sleep(_HELD_PAUSE_S)
+                await sink.send_all(chunk)
+            await sink.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            await _close((source, sink))
+
+
+async def _close(streams: Iterable[trio.SocketStream]) -> None:
+    for stream in streams:
+        await trio.aclose_forcefully(stream)
