Keep ends of a restarted worker, and don't tell outdated states of jobs

Cause: two findings of the soak. (1) After a worker's restart the next poll still acknowledged the ends of the former incarnation by number; both number their ends from 1, so an end that the new one had not reported yet (of a late order) was forgotten, and the task ran again (test_late_start_ends_at_restarted_worker fails on the former code: two starts).

Change: a worker that didn't answer gets no acknowledgement until it has answered again, and the ends in the first report of a new incarnation are processed before the runs that it doesn't list. An owner whose lease has lapsed marks states that aren't final as maybe outdated; the entry then reads the store, and uses them only while that is out of reach.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH = src:.
 SOURCES = src standins tools tests deploy/entry.py
 
-.PHONY: setup format lint types unit test demo platform-demo measure capacity mutants thrift clean
+.PHONY: setup format lint types unit test demo platform-demo measure capacity mutants soak thrift clean
 
 setup: $(VENV)/.installed
 
@@ -40,6 +40,9 @@
 capacity: setup
 	$(BIN)/python -m tools.slopes $(ARGS)
 
+soak: setup
+	$(BIN)/python -m tools.soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),10)
+
 mutants: setup
 	$(BIN)/python -m tools.mutants $(ARGS)
 
--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -18,7 +18,11 @@
 from marjoramwharf.cells.decision_log import log_end, log_finished, log_plan
 from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.job_cleanup import remove_finished_jobs
-from marjoramwharf.cells.job_status import PublicJobState
+from marjoramwharf.cells.job_status import (
+    FINAL_STATES,
+    PublicJobState,
+    StatusAnswer,
+)
 from marjoramwharf.cells.link_context import LinkContext
 from marjoramwharf.cells.model_saver import ModelSaver
 from marjoramwharf.cells.progress_writer import ProgressWriter
@@ -212,6 +216,14 @@
             PublicJobState.RUNNING if job.has_begun else PublicJobState.QUEUED
         )
 
+    def answer_status(self, job_id: JobId) -> StatusAnswer | None:
+        """Return the state of a job and whether it may be outdated."""
+        state = self.status(job_id)
+        if state is None:
+            return None
+        is_certain = state in FINAL_STATES or self.ownership.is_current()
+        return StatusAnswer(state, may_be_outdated=not is_certain)
+
     def can_serve(self, request: JobRequest) -> bool:
         """Whether for each step some worker of the service is large enough.
 
--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -13,7 +13,7 @@
 import trio
 
 from marjoramwharf.cells.counters import CellCounters
-from marjoramwharf.cells.job_status import PublicJobState
+from marjoramwharf.cells.job_status import PublicJobState, StatusAnswer
 from marjoramwharf.cells.owner_link import CellSource, OwnerLink
 from marjoramwharf.cells.records import (
     CellId,
@@ -160,10 +160,19 @@
     async def status(self, job_id: JobId) -> PublicJobState | None:
         """Return the state of a job, ``None`` if no such job is stored.
 
-        Raises ``StoreUnavailable`` if neither the owner nor the store answers.
+        The owner may have stood still while another one brought the job
+        further, so an answer that may be outdated counts only while the store
+        can't be read. Raises ``StoreUnavailable`` if neither answers.
         """
-        state = await self._ask_owner(job_id)
-        return await self._read_status(job_id) if state is None else state
+        answer = await self._ask_owner(job_id)
+        if answer is not None and not answer.may_be_outdated:
+            return answer.state
+        try:
+            return await self._read_status(job_id)
+        except StoreUnavailable:
+            if answer is None:
+                raise
+            return answer.state
 
     async def cancel(self, job_id: JobId, *, deadline_s: float) -> bool:
         """Store the cancellation of a job; return whether the job exists.
@@ -214,10 +223,10 @@
         is_new = isinstance(outcome, Committed)
         _LOG.info('job accepted', job=request.job_id, is_new=is_new)
 
-    async def _ask_owner(self, job_id: JobId) -> PublicJobState | None:
+    async def _ask_owner(self, job_id: JobId) -> StatusAnswer | None:
         cell = self.local_cell()
         if cell is not None and cell.is_loaded:
-            return cell.status(job_id)
+            return cell.answer_status(job_id)
         try:
             return await self.owner_link.status(job_id)
         except Failure as failure:
--- a/src/marjoramwharf/cells/job_status.py
+++ b/src/marjoramwharf/cells/job_status.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import dataclass
 
 
 @enum.unique
@@ -14,3 +15,20 @@
     DONE = 'done'
     FAILED = 'failed'
     CANCELLED = 'cancelled'
+
+
+FINAL_STATES = frozenset(
+    (PublicJobState.DONE, PublicJobState.FAILED, PublicJobState.CANCELLED)
+)
+
+
+@dataclass(frozen=True, slots=True)
+class StatusAnswer:
+    """The state of a job as an owner knows it.
+
+    It ``may_be_outdated`` if another entry may have become the owner meanwhile
+    and may have brought the job further. Final states never are.
+    """
+
+    state: PublicJobState
+    may_be_outdated: bool
--- a/src/marjoramwharf/cells/owner_link.py
+++ b/src/marjoramwharf/cells/owner_link.py
@@ -11,7 +11,7 @@
 import trio
 
 from marjoramwharf.cells.cell import Cell
-from marjoramwharf.cells.job_status import PublicJobState
+from marjoramwharf.cells.job_status import PublicJobState, StatusAnswer
 from marjoramwharf.cells.ownership import CurrentOwner, OwnerView
 from marjoramwharf.cells.records import CellId, decode, encode
 from marjoramwharf.errors import NotOwner, PeerRefused, PeerUnreachable
@@ -26,6 +26,7 @@
 _WAITING_METHOD = 'waiting'
 _ADMIT_METHOD = 'admit'
 _STATUS_OK = 200
+_STATUS_MAY_BE_OUTDATED = 203
 _STATUS_NOT_FOUND = 404
 
 # The owner's process counts as ended after this many refused connections or
@@ -61,12 +62,15 @@
         while True:
             await self._follow_owner(self.view.owners.get(self.cell))
 
-    async def status(self, job_id: JobId) -> PublicJobState | None:
+    async def status(self, job_id: JobId) -> StatusAnswer | None:
         """Return the state of a job, ``None`` if the owner has no such job."""
         reply = await self._call(_STATUS_METHOD, job_id)
         if reply.status == _STATUS_NOT_FOUND:
             return None
-        return PublicJobState(reply.body.decode())
+        return StatusAnswer(
+            PublicJobState(reply.body.decode()),
+            may_be_outdated=reply.status == _STATUS_MAY_BE_OUTDATED,
+        )
 
     async def waiting_count(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not begun."""
@@ -146,7 +150,8 @@
     if call.method == _WAITING_METHOD:
         count = cell.job_table.waiting_count(argument)
         return ttypes.JobReply(status=_STATUS_OK, body=str(count).encode())
-    state = cell.status(JobId(argument))
-    if state is None:
+    answer = cell.answer_status(JobId(argument))
+    if answer is None:
         return ttypes.JobReply(status=_STATUS_NOT_FOUND, body=b'')
-    return ttypes.JobReply(status=_STATUS_OK, body=state.value.encode())
+    status = _STATUS_MAY_BE_OUTDATED if answer.may_be_outdated else _STATUS_OK
+    return ttypes.JobReply(status=status, body=answer.state.value.encode())
--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -66,8 +66,7 @@
         self._follow_incarnation(report, sent_s, now_s, nursery)
         made_s = self.clock.time_of(report.clock_ms, sent_s=sent_s, now_s=now_s)
         self.worker.reported_at_s = made_s
-        for ended in report.ended:
-            self._process_end(ended)
+        self._process_ends(report)
         self.acknowledgements.acknowledge_stored()
         for run_report in report.running:
             self._process_running(run_report, made_s, now_s, nursery)
@@ -102,6 +101,8 @@
                 report.clock_ms, now_s, lease_ms=self._late_lease_ms(now_s)
             )
             self.acknowledgements.restart()
+            # A late order may have started a run here that has ended already.
+            self._process_ends(report)
             for run in self._unlisted_runs(report):
                 self._end_or_stop_lost(run, now_s, nursery)
         self.worker.born_ms = report.born_ms or self.worker.born_ms
@@ -156,6 +157,10 @@
         else:
             self.owner.end_run(run, RunEnd.VANISHED, '')
 
+    def _process_ends(self, report: HoldReport) -> None:
+        for ended in report.ended:
+            self._process_end(ended)
+
     def _process_end(self, ended: EndReport) -> None:
         """Record an end unless an earlier poll has reported it already."""
         if ended.number <= self.acknowledgements.processed_number:
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -106,7 +106,7 @@
             self.orders.address,
             HoldOrder(
                 fence=self.context.fence,
-                acknowledged_end=self.acknowledgements.acknowledged_number,
+                acknowledged_end=self._acknowledged_end(),
                 expires_ms=self._lease_end_ms(sent_s),
                 wait_ms=wait_ms,
             ),
@@ -125,6 +125,16 @@
             self._record_unreachable(report.outcome)
             await trio.sleep(_UNREACHABLE_PAUSE_S)
 
+    def _acknowledged_end(self) -> int:
+        """Return the number of the last end that the worker may forget.
+
+        A worker that didn't answer may have been restarted. Its ends are
+        numbered anew then, and those that it has not reported yet must stay.
+        """
+        if not self.worker.is_reachable:
+            return 0
+        return self.acknowledgements.acknowledged_number
+
     def _lease_end_ms(self, now_s: float) -> int | None:
         """Return the end of the lease to grant with the next poll.
 
--- a/standins/platform_endpoints.py
+++ b/standins/platform_endpoints.py
@@ -9,7 +9,7 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -163,9 +163,9 @@
     async def _watch(self, query: dict[str, str]) -> HttpResponse:
         after = int(query['After'])
         deadline_s = trio.current_time() + int(query['WaitMs']) / _MS_PER_S
-        if after < self.state.compacted_revision:
-            return json_reply({}, 410)
         while True:
+            if after < self.state.compacted_revision:
+                return json_reply({}, 410)
             self.state.expire_due_leases(trio.current_time())
             found = self.state.changes_after(after, query['Prefix'])
             if found or trio.current_time() > deadline_s:
@@ -291,12 +291,18 @@
             wait_ms=body.get('WaitMs', 0),
         )
         deadline_s = trio.current_time() + order.wait_ms / _MS_PER_S
-        report = self.worker.hold(order, trio.current_time())
+        worker = self.worker
+        report = worker.hold(order, trio.current_time())
+        # What the call acknowledges are the ends up to its arrival.
+        order = replace(order, acknowledged_end=0)
         while not report.ended and trio.current_time() < deadline_s:
             if report.outcome is OrderOutcome.FENCED:
                 return json_reply({'Reason': 'fence'}, 409)
             await trio.sleep(_POLL_INTERVAL_S)
-            report = self.worker.hold(order, trio.current_time())
+            if self.worker is not worker:
+                # The connection ended with the incarnation.
+                raise trio.BrokenResourceError
+            report = worker.hold(order, trio.current_time())
         return json_reply(
             {
                 'ClockMs': report.clock_ms,
--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -142,7 +142,11 @@
         self, worker: WorkerAddress, order: HoldOrder, timeout_s: float
     ) -> HoldReport:
         deadline_s = trio.current_time() + order.wait_ms / _MS_PER_S
+        asked = self.workers.get(worker.worker_id)
         while True:
+            if self.workers.get(worker.worker_id) is not asked:
+                # The connection ended with the incarnation.
+                return HoldReport(OrderOutcome.UNKNOWN)
             send_hold = partial(self._hold, worker.worker_id, order)
             report = await self._reach(worker.worker_id, send_hold, timeout_s)
             if report is not None and self.hold_answers_to_lose:
--- a/tests/cells/test_intake.py
+++ b/tests/cells/test_intake.py
@@ -11,7 +11,9 @@
 
 import trio
 
+from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.intake import Intake
+from marjoramwharf.cells.job_status import PublicJobState, StatusAnswer
 from marjoramwharf.cells.owner_link import OwnerLink
 from marjoramwharf.cells.ownership import OwnerView
 from marjoramwharf.cells.records import (
@@ -97,6 +99,18 @@
     return json.loads(reply.body)
 
 
+class _FormerCell(Cell):
+    """The cell of an owner whose own lease has lapsed."""
+
+    def __init__(self) -> None:
+        """Skip the components, which are not needed here."""
+        self.is_loaded = True
+
+    def answer_status(self, job_id: JobId) -> StatusAnswer | None:
+        """Return the state of before."""
+        return StatusAnswer(PublicJobState.RUNNING, may_be_outdated=True)
+
+
 class FrontTests(unittest.TestCase):
     """Guards against answers that contradict what is stored."""
 
@@ -132,10 +146,29 @@
         """Guards against a wrong state while the owner is unreachable."""
         run_with_clock(self._state_without_owner)
 
+    def test_outdated_owner(self) -> None:
+        """Guards against the state of an owner that was replaced."""
+        run_with_clock(self._outdated_owner)
+
     def test_cancel(self) -> None:
         """Guards against a cancellation that is acknowledged but not stored."""
         run_with_clock(self._cancel)
 
+    async def _outdated_owner(self) -> None:
+        """The owner's state counts only while the store can't be read."""
+        async with _open_entry() as entry:
+            await entry.ask('POST', body=_BODY)
+            entry.intake.local_cell = _FormerCell
+            progress = Write(
+                progress_key(CELL, _ID), encode(ProgressRecord(JobPhase.DONE))
+            )
+            await entry.store.commit([], [progress])
+            state = _decode_body(await entry.ask('GET'))
+            self.assertEqual({'State': 'completed'}, state)
+            entry.store.is_down = True
+            state = _decode_body(await entry.ask('GET'))
+            self.assertEqual({'State': 'running'}, state)
+
     async def _paths(self) -> None:
         async with _open_entry() as entry:
             for path in ('/other/1', '/recipes/short', f'{_PATH}0'):
--- a/tests/cells/test_late_answers.py
+++ b/tests/cells/test_late_answers.py
@@ -98,6 +98,14 @@
         """Guards against a lease that was meant for another clock."""
         run_with_clock(self._late_start_at_restarted_worker)
 
+    def test_late_start_ends_at_restarted_worker(self) -> None:
+        """Guards against an end that is forgotten before it is reported."""
+        run_with_clock(self._late_start_ends_at_restarted_worker)
+
+    def test_run_ends_before_restart_is_noticed(self) -> None:
+        """Guards against a done run that is lost with a former incarnation."""
+        run_with_clock(self._run_ends_before_restart_is_noticed)
+
     def test_stop_is_lost(self) -> None:
         """Guards against a run that counts as stopped without an answer."""
         run_with_clock(self._stop_is_lost)
@@ -261,6 +269,39 @@
             second = await cluster.add_worker('w2')
             await cluster.wait_until(lambda: bool(second.starts))
 
+    async def _late_start_ends_at_restarted_worker(self) -> None:
+        """Both incarnations number their ends from 1."""
+        name = WorkerId('w1')
+        async with open_cluster((name,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            early = job_request('aa', step(5), payload='ms=50')
+            await cluster.submit(early)
+            await cluster.wait_until_done(early)
+            await trio.sleep(3)
+            client = cluster.worker_client
+            client.starts_to_delay = 4
+            late = job_request('bb', payload='ms=50')
+            await cluster.submit(late)
+            await cluster.wait_until(lambda: bool(client.delayed_orders))
+            client.unreachable.add(name)
+            await trio.sleep(1.5)
+            cluster.workers[name] = SimulatedWorker(trio.current_time())
+            client.delayed_orders[0]()
+            await trio.sleep(0.2)
+            client.unreachable.clear()
+            await cluster.wait_until_done(late)
+            self.assertEqual([1], list(cluster.starts().values()))
+
+    async def _run_ends_before_restart_is_noticed(self) -> None:
+        name = WorkerId('w1')
+        async with open_cluster((name,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            cluster.workers[name] = SimulatedWorker(trio.current_time())
+            request = job_request('aa', payload='ms=50')
+            await cluster.submit(request)
+            await cluster.wait_until_done(request)
+            self.assertEqual([1], list(cluster.starts().values()))
+
     async def _stop_is_lost(self) -> None:
         async with open_cluster(('w1',)) as (cluster, nursery):
             await _elect(cluster, nursery)
--- /dev/null
+++ b/tests/tools/test_soak.py
@@ -0,0 +1,171 @@
+"""The soak's own parts, and a short soak with a fixed seed."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+import unittest
+from dataclasses import replace
+
+import trio
+from trio.testing import wait_all_tasks_blocked
+
+from marjoramwharf.links.http_server import open_listener
+from marjoramwharf.links.tcp import open_stream
+from tools.ports import free_ports
+from tools.soak.checks import CallerRecord, Run, find_violations
+from tools.soak.faults import FAULTS, make_plan
+from tools.soak.link import HOST, Link, LinkMode
+from tools.soak.soak import run_soak
+
+_RUN = Run('j.0.0.0', 1, 1, 2, 'done', 2.5)
+
+
+def _accepted(*states: str, tasks_count: int = 1) -> CallerRecord:
+    return CallerRecord(
+        'j',
+        tasks_count,
+        is_accepted=True,
+        was_refused=False,
+        states=list(states),
+    )
+
+
+class CheckTests(unittest.TestCase):
+    """Guards against a broken promise that the soak doesn't notice."""
+
+    def test_nothing_wrong(self) -> None:
+        """Guards against a violation that is none."""
+        again = replace(_RUN, number=2, started_s=3, ended_s=4)
+        lapsed = replace(_RUN, how='lapsed', acknowledged_s=None)
+        caller = _accepted('queued', 'running', 'completed')
+        self.assertFalse(find_violations([lapsed, again], [caller]))
+
+    def test_two_runs_at_a_time(self) -> None:
+        """Guards against doubled work, also while a run has not ended."""
+        lapsed = replace(_RUN, how='', ended_s=None, acknowledged_s=None)
+        other = replace(_RUN, number=2, started_s=8, ended_s=9)
+        self._assert_found('while run 1 was at work', [lapsed, other])
+
+    def test_start_after_completion(self) -> None:
+        """Guards against work that runs again after it was done."""
+        again = replace(_RUN, number=2, started_s=3, ended_s=4)
+        self._assert_found('after the task was done', [_RUN, again])
+
+    def test_refused_job_runs(self) -> None:
+        """Guards against "not run" for a job that ran."""
+        refused = CallerRecord('j', 1)
+        self._assert_found('though it was refused', [_RUN], refused)
+
+    def test_unasked_job_runs(self) -> None:
+        """Guards against work that nobody asked for."""
+        other = replace(_RUN, task='k.0.0.0')
+        self._assert_found('nobody asked', [_RUN, other])
+
+    def test_wrong_states(self) -> None:
+        """Guards against a lost job, or a state that goes back."""
+        for text, caller in (
+            ('not known', _accepted('running', 'missing', 'completed')),
+            ('after completion', _accepted('completed', 'running')),
+            ('before its tasks', _accepted('completed', tasks_count=2)),
+            ('running at the end', _accepted('running')),
+            ('unknown at the end', _accepted()),
+            ('cancelled at the end', _accepted('cancelled')),
+        ):
+            with self.subTest(text):
+                self._assert_found(text, [_RUN], caller)
+
+    def _assert_found(
+        self, text: str, runs: list[Run], caller: CallerRecord | None = None
+    ) -> None:
+        found = find_violations(runs, [caller or _accepted('completed')])
+        self.assertTrue(any(text in violation for violation in found), found)
+
+
+class PlanTests(unittest.TestCase):
+    """Guards against a failure that can't be played again."""
+
+    def test_same_seed_same_plan(self) -> None:
+        """Guards against a plan that depends on more than its seed."""
+        self.assertEqual(make_plan(5, 20), make_plan(5, 20))
+        self.assertNotEqual(make_plan(5, 20), make_plan(6, 20))
+
+    def test_all_faults_are_drawn(self) -> None:
+        """Guards against a fault that is never played."""
+        drawn = {fault.kind for fault in make_plan(1, 400)}
+        self.assertEqual(set(FAULTS), drawn)
+
+
+class LinkTests(unittest.TestCase):
+    """Guards against a fault of a link that harms nothing."""
+
+    def test_modes(self) -> None:
+        """Guards against bytes that pass a cut link, or are lost by it."""
+        trio.run(self._modes)
+
+    def test_reset(self) -> None:
+        """Guards against a connection that survives a reset."""
+        trio.run(self._reset)
+
+    async def _modes(self) -> None:
+        async with trio.open_nursery() as nursery:
+            link = await self._open_link(nursery)
+            stream = await open_stream(HOST, link.port)
+            self.assertEqual(b'a', await _exchange(stream, b'a'))
+            for mode in set(LinkMode) - {LinkMode.OPEN}:
+                link.mode = mode
+                self.assertIsNone(await _exchange(stream, b'b'))
+                link.heal()
+                with trio.fail_after(2):
+                    self.assertEqual(b'b', await stream.receive_some(10))
+            nursery.cancel_scope.cancel()
+
+    async def _reset(self) -> None:
+        async with trio.open_nursery() as nursery:
+            link = await self._open_link(nursery)
+            stream = await open_stream(HOST, link.port)
+            self.assertEqual(b'a', await _exchange(stream, b'a'))
+            await link.reset()
+            with self.assertRaises(trio.BrokenResourceError):
+                await _exchange(stream, b'b')
+            again = await open_stream(HOST, link.port)
+            self.assertEqual(b'c', await _exchange(again, b'c'))
+            nursery.cancel_scope.cancel()
+
+    async def _open_link(self, nursery: trio.Nursery) -> Link:
+        """Open a link to a server that sends back what it gets."""
+        ports = free_ports(2)
+        listener = await open_listener(HOST, ports[1])
+        nursery.start_soon(trio.serve_listeners, _echo, [listener])
+        link = Link(ports[0], ports[1])
+        nursery.start_soon(link.serve)
+        await wait_all_tasks_blocked()
+        return link
+
+
+async def _echo(stream: trio.SocketStream) -> None:
+    try:
+        while chunk := await stream.receive_some(100):
+            await stream.send_all(chunk)
+    except trio.BrokenResourceError:
+        await trio.aclose_forcefully(stream)
+
+
+async def _exchange(stream: trio.SocketStream, body: bytes) -> bytes | None:
+    """Send bytes and return the answer, ``None`` if there is none in time."""
+    await stream.send_all(body)
+    with trio.move_on_after(0.3):
+        return bytes(await stream.receive_some(10))
+    return None
+
+
+class SoakTests(unittest.TestCase):
+    """Guards against faults that only real processes show."""
+
+    def test_short_soak(self) -> None:
+        """Guards against a broken promise under a few overlapping faults."""
+        with tempfile.TemporaryDirectory() as folder:
+            report = trio.run(run_soak, 1, 5, pathlib.Path(folder))
+        self.assertFalse(report.violations)
+        self.assertTrue(report.accepted_count)
+        self.assertTrue(report.runs)
--- a/tools/soak/link.py
+++ b/tools/soak/link.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import trio
@@ -71,8 +72,10 @@
     async def reset(self) -> None:
         """Reset all connections; new ones work."""
         for stream in tuple(self._streams):
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
-            await trio.aclose_forcefully(stream)
+            # The other end of a connection closes with the first one.
+            with suppress(OSError, trio.ClosedResourceError):
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
+                await trio.aclose_forcefully(stream)
 
     async def _pass_connection(self, caller: trio.SocketStream) -> None:
         try:
