--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -15,7 +15,7 @@
 from marjoramwharf.cells.auto_reset_event import AutoResetEvent
 from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.clocks import boot_s, wall_ms
-from marjoramwharf.cells.decision_log import log_end, log_finished, log_plan
+from marjoramwharf.cells.decision_log import log_end, log_finished
 from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.job_cleanup import remove_finished_jobs
 from marjoramwharf.cells.job_status import (
@@ -25,6 +25,7 @@
 )
 from marjoramwharf.cells.link_context import LinkContext
 from marjoramwharf.cells.model_saver import ModelSaver
+from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.records import inbox_prefix
 from marjoramwharf.cells.run_mover import RunMover
@@ -55,14 +56,8 @@
 # events are collected for this long.
 _HEARTBEAT_COLLECTION_S = 0.25
 
-_PLAN_PERIOD_S = 0.25
 _MAINTENANCE_PERIOD_S = 0.5
 
-# The planner pauses for this multiple of the time that its last pass took. It is
-# longer while tasks wait for room, since hundreds of polls and ends of runs a
-# second would each cause a pass over all of these tasks.
-_PAUSE_FACTOR = 1.0
-_FULL_PAUSE_FACTOR = 3.0
 _MS_PER_S = 1_000
 
 # Covers the error of a former owner's estimate of a worker's clock.
@@ -87,7 +82,7 @@
     _model: InterferenceModel = field(default_factory=InterferenceModel)
     _plan_signal: AutoResetEvent = field(default_factory=AutoResetEvent)
     _progress_writer: ProgressWriter = field(init=False)
-    _planner: Planner = field(init=False)
+    _plan_loop: PlanLoop = field(init=False)
     _ticket_cache: TicketCache = field(init=False)
     _run_mover: RunMover = field(init=False)
     _inbox: Inbox = field(init=False)
@@ -139,15 +134,23 @@
             configuration=context.configuration,
             on_change=self._plan_signal.set,
         )
-        self._planner = Planner(
+        planner = Planner(
             self.job_table,
             self.worker_registry.fleet,
             self._model,
             self._ticket_cache.tickets,
         )
+        self._plan_loop = PlanLoop(
+            planner=planner,
+            job_table=self.job_table,
+            configuration=context.configuration,
+            signal=self._plan_signal,
+            may_plan=self._may_plan,
+            on_planned=self._progress_writer.wake,
+        )
         self._run_mover = RunMover(
             worker_registry=self.worker_registry,
-            planner=self._planner,
+            planner=planner,
             queue_of=self._queue_of,
             counters=context.counters,
             on_planned=self._progress_writer.wake,
@@ -186,7 +189,7 @@
             nursery.start_soon(self._progress_writer.run)
             nursery.start_soon(inbox.run)
             nursery.start_soon(workers.run)
-            nursery.start_soon(self._run_planner)
+            nursery.start_soon(self._plan_loop.run)
             nursery.start_soon(self._run_maintenance)
             nursery.start_soon(run_restarted, 'tickets', self._ticket_cache.run)
             nursery.start_soon(
@@ -299,49 +302,13 @@
         self.worker_registry.update_paces(worker_id)
         self._plan_signal.set()
 
+    def _may_plan(self) -> bool:
+        return not self.is_stopping and self.ownership.is_current()
+
     def _wake_planner_and_writer(self) -> None:
         self._plan_signal.set()
         self._progress_writer.wake()
 
-    async def _run_planner(self) -> None:
-        while True:
-            await self._plan_signal.wait(timeout_s=self._next_plan_pause_s())
-            if not self.is_stopping and self.ownership.is_current():
-                began_s = boot_s()
-                self._plan()
-                # Leaves processor time to orders and polls during a burst.
-                await trio.sleep(self._pause_after_plan_s(boot_s() - began_s))
-
-    def _pause_after_plan_s(self, took_s: float) -> float:
-        """Return the pause after a pass of the planner that took ``took_s``."""
-        has_waiting = bool(self.job_table.ready)
-        factor = _FULL_PAUSE_FACTOR if has_waiting else _PAUSE_FACTOR
-        return min(_PLAN_PERIOD_S, took_s * factor)
-
-    def _next_plan_pause_s(self) -> float:
-        due_ms = self.job_table.next_due_ms()
-        if due_ms is None:
-            return _PLAN_PERIOD_S
-        until_due_s = (due_ms - wall_ms()) / _MS_PER_S
-        return min(_PLAN_PERIOD_S, max(0, until_due_s))
-
-    def _plan(self) -> None:
-        configuration = self.context.configuration()
-        if configuration is None:
-            return
-        now_s = boot_s()
-        now_ms = wall_ms()
-        self.job_table.create_due_occurrences(now_s=now_s, now_ms=now_ms)
-        planned = self._planner.plan(
-            configuration.queues,
-            now_s=now_s,
-            now_ms=now_ms,
-        )
-        for plan in planned:
-            log_plan(plan, configuration.version)
-        if planned:
-            self._progress_writer.wake()
-
     def _on_job_stored(self, job: Job) -> None:
         """Send the start orders and acknowledge the ends stored by now."""
         for run in tuple(job.live_runs()):
@@ -375,7 +342,7 @@
 
     async def _maintain(self) -> None:
         self._end_runs_of_unreached_workers()
-        if not self.is_stopping and self.ownership.is_current():
+        if self._may_plan():
             self._run_mover.move_all(now_s=boot_s())
         for job in tuple(self.job_table.jobs.values()):
             if job.occurrences:
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -17,6 +17,7 @@
     EndAcknowledgements,
     _UnacknowledgedEnd,
 )
+from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.report_processor import ReportProcessor
 from marjoramwharf.cells.worker_clock import WorkerClock
@@ -36,7 +37,7 @@
 
 _send_start = WorkerOrders._send_start
 _send_stop = WorkerOrders._send_stop
-_plan = Cell._plan
+_plan = PlanLoop._plan
 _add_end = EndAcknowledgements.add
 _run_writer = ProgressWriter.run
 
@@ -58,11 +59,12 @@
     return await _send_stop(self, replace(order, fence=0))
 
 
-def _plan_and_start(self: Cell) -> None:
+def _plan_and_start(self: PlanLoop) -> None:
     _plan(self)
+    cell: Cell = self.may_plan.__self__  # type: ignore[attr-defined]
     for run in tuple(self.job_table.live_runs()):
         if run.phase is RunPhase.PLANNED:
-            self._send_start(run)
+            cell._send_start(run)
 
 
 def _lease_for_unreachable(self: WorkerLink, now_s: float) -> int | None:
@@ -109,7 +111,7 @@
         _UnacknowledgedEnd, 'is_stored', PropertyMock(return_value=True)
     ),
     'a run is stored before it is ordered': lambda: patch.object(
-        Cell, '_plan', _plan_and_start
+        PlanLoop, '_plan', _plan_and_start
     ),
     'no lease is extended without answers': lambda: patch.object(
         WorkerLink, '_lease_end_ms', _lease_for_unreachable
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -19,26 +19,14 @@
 
 import trio
 
-from marjoramwharf.links.http_client import (
-    CallFailed,
-    HttpClient,
-)
-from marjoramwharf.links.http_responses import ClientResponse
-from standins.platform_process import (
-    HOST,
-    QUEUE_HOST,
-    QUEUE_PREFIX,
-    SETTINGS_VARIABLE,
-    entry_settings,
-)
+from marjoramwharf.links.http_client import CallFailed
+from tools.platform_fleet import PlatformFleet
 from tools.ports import free_ports
-from tools.processes import Process
 
 _ENTRIES_COUNT = 3
 _WORKERS_COUNT = 4
 _JOBS_COUNT = 40
 _SUBMIT_PAUSE_S = 0.08
-_ANSWER_TIMEOUT_S = 3.0
 _TIME_LIMIT_S = 40.0
 _STATUS_OK = 200
 
@@ -60,44 +48,22 @@
 
 
 @dataclass
-class Demo:
-    """Runs the processes of one demonstration and submits its jobs.
-
-    ``queue_urls`` holds the base URL of the queue at each entry.
-    """
-
-    folder: pathlib.Path
-    client: HttpClient = field(default_factory=HttpClient)
-    entries: list[Process] = field(default_factory=list)
-    queue_urls: list[str] = field(default_factory=list)
-    platform: Process | None = None
-    store_port: int = 0
+class Demo(PlatformFleet):
+    """Runs the processes of one demonstration and submits its jobs."""
 
     def start(self, stack: ExitStack) -> None:
         """Start all processes; they are killed when ``stack`` is closed."""
         ports = free_ports(4)
         # The ports of the workers follow that of the store.
         self.store_port = free_ports(_WORKERS_COUNT + 1)[0]
-        self.platform = Process(
-            'platform',
-            (
-                'standins.platform_process',
-                '--port',
-                str(self.store_port),
-                '--workers',
-                str(_WORKERS_COUNT),
-            ),
-            self.folder / 'platform.log',
-        )
-        stack.callback(self.platform.kill)
-        for number in range(1, _ENTRIES_COUNT + 1):
-            entry = self._start_entry(number, ports)
-            stack.callback(entry.kill)
+        self.start_platform(stack, f'--workers={_WORKERS_COUNT}')
+        for _ in range(_ENTRIES_COUNT):
+            self.start_entry(stack, ports, store_port=self.store_port)
 
     async def run(self) -> DemoReport:
         """Submit jobs, kill the owner meanwhile, and wait for all jobs."""
         report = DemoReport()
-        await self._wait_until_ready()
+        await self.wait_until_ready()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._kill_owner)
             for number in range(_JOBS_COUNT):
@@ -109,54 +75,6 @@
         await self._count_starts(report)
         return report
 
-    def _start_entry(self, number: int, ports: list[int]) -> Process:
-        host = f'127.0.0.{number}'
-        path = self.folder / f'entry-{number}.conf'
-        path.write_text(
-            entry_settings(
-                f'entry-{number}',
-                host,
-                ports,
-                store=f'{HOST}:{self.store_port}',
-            ),
-        )
-        entry = Process(
-            f'entry-{number}',
-            ('marjoramwharf.programs.platform_entry',),
-            self.folder / f'entry-{number}.log',
-            {SETTINGS_VARIABLE: str(path)},
-        )
-        self.entries.append(entry)
-        self.queue_urls.append(f'http://{host}:{ports[0]}{QUEUE_PREFIX}')
-        return entry
-
-    async def _wait_until_ready(self) -> None:
-        """Wait for all entries; raises ``ProcessExited`` if one has ended."""
-        with trio.fail_after(_TIME_LIMIT_S):
-            for entry, queue_url in zip(
-                self.entries, self.queue_urls, strict=True
-            ):
-                while not await self._is_ready(queue_url):
-                    entry.raise_if_ended()
-                    await trio.sleep(0.1)
-
-    async def _is_ready(self, queue_url: str) -> bool:
-        try:
-            return (await self._send('GET', queue_url)).is_success
-        except CallFailed:
-            return False
-
-    async def _send(
-        self, method: str, url: str, body: bytes = b''
-    ) -> ClientResponse:
-        return await self.client.request(
-            method,
-            url,
-            headers={'Host': QUEUE_HOST},
-            body=body,
-            timeout_s=_ANSWER_TIMEOUT_S,
-        )
-
     async def _submit(self, number: int, report: DemoReport) -> None:
         """Submit a job; after each failure try the next entry."""
         job_id = f'{number:016x}'
@@ -169,7 +87,7 @@
             for attempt in range(number, number + 1_000):
                 queue_url = self.queue_urls[attempt % len(self.queue_urls)]
                 try:
-                    answer = await self._send('POST', queue_url + job_id, body)
+                    answer = await self.send('POST', queue_url + job_id, body)
                 except CallFailed:
                     continue
                 if answer.is_success:
@@ -192,7 +110,7 @@
         while state not in {'completed', 'failed', 'cancelled'}:
             for queue_url in self.queue_urls:
                 try:
-                    answer = await self._send('GET', queue_url + job_id)
+                    answer = await self.send('GET', queue_url + job_id)
                 except CallFailed:
                     continue
                 if answer.status == _STATUS_OK:
@@ -203,8 +121,7 @@
     async def _count_starts(self, report: DemoReport) -> None:
         counts: Counter[str] = Counter()
         for number in range(1, _WORKERS_COUNT + 1):
-            url = f'http://{HOST}:{self.store_port + number}/starts'
-            answer = await self._send('GET', url)
+            answer = await self.send('GET', self.worker_url(number, '/starts'))
             counts.update(row[0] for row in json.loads(answer.body))
         report.starts_count = counts.total()
         report.doubled_tasks = [
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -3,23 +3,13 @@
 from __future__ import annotations
 
 import json
-import pathlib
 import signal
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import Any
 
-import trio
-
-from marjoramwharf.links.http_client import CallFailed, HttpClient
-from marjoramwharf.links.http_responses import ClientResponse
 from standins.platform_endpoints import CONTROL_PATH
-from standins.platform_process import (
-    QUEUE_HOST,
-    QUEUE_PREFIX,
-    SETTINGS_VARIABLE,
-    entry_settings,
-)
+from tools.platform_fleet import PlatformFleet
 from tools.ports import free_ports
 from tools.processes import Process
 from tools.soak.checks import Run
@@ -27,27 +17,19 @@
 
 ENTRIES_COUNT = 3
 WORKERS_COUNT = 4
-ANSWER_TIMEOUT_S = 3.0
-
-_READY_LIMIT_S = 40.0
 _CELL_LOADED = b'cell loaded'
 
 
 @dataclass
-class SoakFleet:
-    """Entries and the stand-in platform as processes, joined by links.
+class SoakFleet(PlatformFleet):
+    """Entries and the stand-in platform, joined by links.
 
     Each entry has a link of its own to the store, and each worker one that all
-    entries use. ``queue_urls`` holds the base URL of the queue at each entry.
+    entries use.
     """
 
-    folder: pathlib.Path
-    client: HttpClient = field(default_factory=HttpClient)
-    entries: list[Process] = field(default_factory=list)
-    queue_urls: list[str] = field(default_factory=list)
     store_links: list[Link] = field(default_factory=list)
     worker_links: list[Link] = field(default_factory=list)
-    store_port: int = 0
 
     def start(self, stack: ExitStack) -> None:
         """Start all processes; they are killed when ``stack`` is closed."""
@@ -62,35 +44,19 @@
             Link(first_link + WORKERS_COUNT + number, self.store_port)
             for number in range(ENTRIES_COUNT)
         ]
-        platform = Process(
-            'platform',
-            (
-                'standins.platform_process',
-                f'--port={self.store_port}',
-                f'--workers={WORKERS_COUNT}',
-                f'--listed-offset={WORKERS_COUNT}',
-            ),
-            self.folder / 'platform.log',
+        self.start_platform(
+            stack,
+            f'--workers={WORKERS_COUNT}',
+            f'--listed-offset={WORKERS_COUNT}',
         )
-        stack.callback(platform.kill)
-        for number in range(ENTRIES_COUNT):
-            stack.callback(self._start_entry(number, ports).kill)
+        for link in self.store_links:
+            self.start_entry(stack, ports, store_port=link.port)
 
     @property
     def links(self) -> list[Link]:
         """All links."""
         return [*self.store_links, *self.worker_links]
 
-    async def wait_until_ready(self) -> None:
-        """Wait for all entries; raises ``ProcessExited`` if one has ended."""
-        with trio.fail_after(_READY_LIMIT_S):
-            for entry, queue_url in zip(
-                self.entries, self.queue_urls, strict=True
-            ):
-                while not await self._is_ready(queue_url):
-                    entry.raise_if_ended()
-                    await trio.sleep(0.1)
-
     def heal(self) -> None:
         """End all faults of links and processes."""
         for link in self.links:
@@ -104,23 +70,6 @@
         """Return the entry that loaded the cell last, by its log."""
         return max(self.entries, key=_cell_loaded_time)
 
-    async def send(
-        self,
-        method: str,
-        url: str,
-        body: bytes = b'',
-        *,
-        timeout_s: float = ANSWER_TIMEOUT_S,
-    ) -> ClientResponse:
-        """Send a request for the queue; raises ``CallFailed``."""
-        return await self.client.request(
-            method,
-            url,
-            headers={'Host': QUEUE_HOST},
-            body=body,
-            timeout_s=timeout_s,
-        )
-
     async def control_store(self, **fault: Any) -> None:
         """Begin or end a fault of the store."""
         await self._control(self.store_port, fault)
@@ -132,34 +81,12 @@
     async def read_runs(self) -> list[Run]:
         """Return all runs of all workers."""
         runs: list[Run] = []
-        for number in range(WORKERS_COUNT):
-            url = f'http://{HOST}:{self.store_port + 1 + number}/history'
+        for number in range(1, WORKERS_COUNT + 1):
+            url = self.worker_url(number, '/history')
             answer = await self.send('GET', url)
             runs += [Run(**row) for row in json.loads(answer.body)]
         return runs
 
-    def _start_entry(self, number: int, ports: list[int]) -> Process:
-        name = f'entry-{number + 1}'
-        host = f'127.0.0.{number + 1}'
-        path = self.folder / f'{name}.conf'
-        store = f'{HOST}:{self.store_links[number].port}'
-        path.write_text(entry_settings(name, host, ports, store=store))
-        entry = Process(
-            name,
-            ('marjoramwharf.programs.platform_entry',),
-            self.folder / f'{name}.log',
-            {SETTINGS_VARIABLE: str(path)},
-        )
-        self.entries.append(entry)
-        self.queue_urls.append(f'http://{host}:{ports[0]}{QUEUE_PREFIX}')
-        return entry
-
-    async def _is_ready(self, queue_url: str) -> bool:
-        try:
-            return (await self.send('GET', queue_url)).is_success
-        except CallFailed:
-            return False
-
     async def _control(self, port: int, fault: dict[str, Any]) -> None:
         url = f'http://{HOST}:{port}{CONTROL_PATH}'
         await self.send('POST', url, json.dumps(fault).encode())
