Refuse a state that may be outdated while the store can't be read

An owner that wakes finds all calls to the store timed out, takes the store for unreachable, and so used its own state, which was two owners old (trace: paused from 51:39.9 to 51:44.2, replaced at 51:42.2, its successor ended the jobs at 51:44.250).

Change: such a state doesn't count; the caller gets 503 and asks another entry.

--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -161,18 +161,13 @@
         """Return the state of a job, ``None`` if no such job is stored.
 
         The owner may have stood still while another one brought the job
-        further, so an answer that may be outdated counts only while the store
-        can't be read. Raises ``StoreUnavailable`` if neither answers.
+        further, so an answer that may be outdated doesn't count. Raises
+        ``StoreUnavailable`` if the store doesn't answer then.
         """
         answer = await self._ask_owner(job_id)
         if answer is not None and not answer.may_be_outdated:
             return answer.state
-        try:
-            return await self._read_status(job_id)
-        except StoreUnavailable:
-            if answer is None:
-                raise
-            return answer.state
+        return await self._read_status(job_id)
 
     async def cancel(self, job_id: JobId, *, deadline_s: float) -> bool:
         """Store the cancellation of a job; return whether the job exists.
