Leave runs alone that began after the first report of a restarted worker

A poll is sent again on a new connection if its old one has ended, so a restart can be noticed without a failed poll.

Change: a run whose start was confirmed after the poll was sent is left for the next report.

Result: test_run_starts_before_restart_is_noticed fails on the former code (two starts) and passes.

--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -104,7 +104,8 @@
             # A late order may have started a run here that has ended already.
             self._process_ends(report)
             for run in self._unlisted_runs(report):
-                self._end_or_stop_lost(run, now_s, nursery)
+                if not _may_be_newer(run, sent_s):
+                    self._end_or_stop_lost(run, now_s, nursery)
         self.worker.born_ms = report.born_ms or self.worker.born_ms
 
     def _is_same_incarnation(self, report: HoldReport, sent_s: float) -> bool:
@@ -252,6 +253,11 @@
     return run.is_start_unconfirmed and is_recent
 
 
+def _may_be_newer(run: Run, sent_s: float) -> bool:
+    """Whether a run may have started after the report to a poll was made."""
+    return run.confirmed_s is not None and run.confirmed_s >= sent_s
+
+
 def _has_certainly_ended(run: Run, sent_s: float, stop_ms: int) -> bool:
     """Whether a run that is missing in a poll sent at ``sent_s`` has ended."""
     if run.phase is RunPhase.UNCERTAIN:
--- a/tests/cells/test_late_answers.py
+++ b/tests/cells/test_late_answers.py
@@ -13,7 +13,9 @@
 
 import trio
 
+from marjoramwharf.cells.job_status import PublicJobState
 from marjoramwharf.cells.records import progress_prefix
+from marjoramwharf.cells.worker_messages import HoldReport, OrderOutcome
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.links.store import Committed, Conflict, Guard, Write
 from marjoramwharf.scheduling.fleet import WorkerState
@@ -106,6 +108,10 @@
         """Guards against a done run that is lost with a former incarnation."""
         run_with_clock(self._run_ends_before_restart_is_noticed)
 
+    def test_run_starts_before_restart_is_noticed(self) -> None:
+        """Guards against a sound run that is taken for one of before."""
+        run_with_clock(self._run_starts_before_restart_is_noticed)
+
     def test_stop_is_lost(self) -> None:
         """Guards against a run that counts as stopped without an answer."""
         run_with_clock(self._stop_is_lost)
@@ -302,6 +308,27 @@
             await cluster.wait_until_done(request)
             self.assertEqual([1], list(cluster.starts().values()))
 
+    async def _run_starts_before_restart_is_noticed(self) -> None:
+        """The first report of the new incarnation is older than the run."""
+        name = WorkerId('w1')
+        async with open_cluster((name,)) as (cluster, nursery):
+            owner = await _elect(cluster, nursery)
+            polled_s = trio.current_time()
+            request = job_request('aa', payload='ms=3000')
+            await cluster.submit(request)
+            await cluster.wait_until(
+                lambda: cluster.state(request) is PublicJobState.RUNNING
+            )
+            report = HoldReport(
+                OrderOutcome.ACCEPTED, clock_ms=100, born_ms=10**12
+            )
+            self.assertIsNotNone(owner.cell)
+            if owner.cell is not None:
+                link = owner.cell.worker_registry.links[name]
+                link._reports.process(report, sent_s=polled_s, nursery=nursery)
+            await cluster.wait_until_done(request)
+            self.assertEqual([1], list(cluster.starts().values()))
+
     async def _stop_is_lost(self) -> None:
         async with open_cluster(('w1',)) as (cluster, nursery):
             await _elect(cluster, nursery)
