--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import os
 import pathlib
 import shutil
@@ -157,7 +158,9 @@
         self.store = Store(PLATFORM_HOST)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
 
-    async def open_platform(self, *routes: dict[str, Any], with_proxies: bool = False) -> None:
+    async def open_platform(
+        self, *routes: dict[str, Any], with_proxies: bool = False, **worker_options: Any
+    ) -> None:
         """Start the store and the workers, with a first configuration.
 
         With ``with_proxies``, each worker is listed under the address of a proxy.
@@ -166,7 +169,9 @@
         self.store.put_json('op/config', configuration(1, *routes))
         self.background(self._advance_workers())
         for number in range(1, self.workers_count + 1):
-            await self.add_worker(f'i-{number:08x}', with_proxy=with_proxies)
+            await self.add_worker(
+                f'i-{number:08x}', with_proxy=with_proxies, **worker_options
+            )
 
     async def add_worker(
         self, worker_id: str, *, with_proxy: bool = False, **options: Any
@@ -198,6 +203,32 @@
         for entry in self.entries:
             await self.wait_ready(entry)
 
+    def lose_power(self, entry: Entry) -> None:
+        """Let an entry lose power; the workers hear nothing of it.
+
+        Only the owner of the cell has connections to workers, so all of these
+        are its own.
+        """
+        for proxy in self.proxies.values():
+            proxy.lose_senders()
+        if entry.process is not None:
+            entry.process.send_signal(signal.SIGKILL)
+            entry.process.wait()
+        self.record.add('power', entry=entry.name, state='lost')
+
+    def owner(self) -> Entry:
+        """Return the entry that gives the orders.
+
+        Its name is in the value of the only key below ``mw/own/``.
+        """
+        for key, item in self.store.items.items():
+            if key.startswith('mw/own/'):
+                value = base64.b64decode(item['Value'])
+                for entry in self.entries:
+                    if entry.name.encode() in value:
+                        return entry
+        raise RuntimeError('no entry owns the cell')
+
     def start_entry(self, entry: Entry) -> None:
         """Start the process of an entry with the command of the deploy file."""
         settings = self.folder / f'{entry.name}.conf'
--- a/review/lib/http11.py
+++ b/review/lib/http11.py
@@ -67,14 +67,24 @@
 
 @dataclass
 class HttpServer:
-    """Serves one address; ``port`` is chosen on the first ``open``."""
+    """Serves one address; ``port`` is chosen on the first ``open``.
+
+    Connections beyond ``max_connections`` are reset.
+    """
 
     host: str
     handle: Handler
     port: int = 0
+    max_connections: int | None = None
+    refused_count: int = 0
     _server: asyncio.AbstractServer | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
+    @property
+    def connections_count(self) -> int:
+        """How many connections are open."""
+        return len(self._writers)
+
     @property
     def address(self) -> str:
         """The address as ``host:port``."""
@@ -103,6 +113,11 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        limit = self.max_connections
+        if limit is not None and len(self._writers) >= limit:
+            self.refused_count += 1
+            reset(writer)
+            return
         self._writers.add(writer)
         try:
             while True:
--- a/review/lib/proxy.py
+++ b/review/lib/proxy.py
@@ -27,6 +27,7 @@
     port: int = 0
     _server: asyncio.AbstractServer | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _dark: set[asyncio.StreamWriter] = field(default_factory=set)
 
     @property
     def address(self) -> str:
@@ -50,6 +51,14 @@
         if self.on_cut is not None:
             self.on_cut()
 
+    def lose_senders(self) -> None:
+        """Let all present connections end in a machine that has lost power.
+
+        Nothing more arrives over them at the worker, not even their end, so it
+        keeps them open.
+        """
+        self._dark |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -67,12 +76,21 @@
                 group.create_task(self._pass_requests(reader, worker_writer, is_last))
                 group.create_task(self._pass_answers(worker_reader, writer, is_last))
         except* OSError:
-            pass
+            if writer in self._dark:
+                await self._keep_open(worker_reader)
         finally:
             self._writers -= {writer, worker_writer}
             reset(writer)
             reset(worker_writer)
 
+    async def _keep_open(self, worker_reader: asyncio.StreamReader) -> None:
+        """Hold the connection to the worker until the worker ends it."""
+        try:
+            while await worker_reader.read(_CHUNK_BYTES):
+                continue
+        except OSError:
+            return
+
     async def _pass_requests(
         self,
         reader: asyncio.StreamReader,
--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,7 +20,10 @@
 
 @dataclass(frozen=True)
 class Behaviour:
-    """What a run does: it ends ``how`` after ``ms`` of work."""
+    """What a run does: it ends ``how`` after ``ms`` of work.
+
+    A run that lasts has infinite ``ms`` and is at work from its start on.
+    """
 
     ms: float
     how: str = 'done'
@@ -53,6 +57,7 @@
     running: dict[str, _Run] = field(default_factory=dict)
     ended: list[list[Any]] = field(default_factory=list)
     needs_ticket: Callable[[str, str], bool] | None = None
+    max_connections: int | None = None
     server: HttpServer = field(init=False)
     _ends_count: int = 0
     _refused: dict[str, int] = field(default_factory=dict)
@@ -61,7 +66,9 @@
 
     def __post_init__(self) -> None:
         """Create the server; ``server.open`` makes the worker reachable."""
-        self.server = HttpServer(self.host, self.handle)
+        self.server = HttpServer(
+            self.host, self.handle, max_connections=self.max_connections
+        )
 
     def clock_ms(self) -> float:
         """The worker's own steady clock."""
@@ -177,6 +184,8 @@
         }
 
     def _percent(self, run: _Run, now_ms: float) -> int:
+        if math.isinf(run.behaviour.ms):
+            return 100
         return int(min(99, 100 * (now_ms - run.began_ms) / max(1, run.behaviour.ms)))
 
     def _end(self, run: _Run, how: str) -> None:
