--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -202,6 +202,15 @@
             self.start_entry(entry)
         for entry in self.entries:
             await self.wait_ready(entry)
+            await self._wait_served(entry)
+
+    async def _wait_served(self, entry: Entry, *, timeout_s: float = 20) -> None:
+        """Wait until an entry can tell the count of waiting jobs."""
+        ends_s = self.record.now_s() + timeout_s
+        while await self.send(entry, 'GET', '') != 200:
+            if self.record.now_s() > ends_s:
+                raise RuntimeError(f'{entry.name} does not serve')
+            await asyncio.sleep(0.1)
 
     def lose_power(self, entry: Entry) -> None:
         """Let an entry lose power; the workers hear nothing of it.
