Don't report a sent start order as unsent when its repeat can't connect

Cause: HttpClient repeated any request whose reused connection ended before the response. If the second connection was refused, it raised NotConnected (nothing sent), and the run ended as one that never started.

Only requests marked as repeatable are repeated now (reads of the store, polls of workers); a repeat that can't connect counts as unanswered. Idle connections that have ended or hold unasked bytes are not reused.

--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -62,6 +62,15 @@
     idle_since_s: float = 0
     responses_count: int = 0
 
+    def is_reusable(self, oldest_s: float) -> bool:
+        """Whether the connection is open and idle since ``oldest_s`` at most.
+
+        An idle connection that is readable has ended, or the server has sent
+        bytes that are no response to a request.
+        """
+        is_recent = self.idle_since_s >= oldest_s
+        return is_recent and not self.stream.socket.is_readable()
+
 
 @dataclass(slots=True)
 class _Progress:
@@ -88,14 +97,18 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b'',
         timeout_s: float,
+        is_repeatable: bool = False,
     ) -> ClientResponse:
         """Send a request and return the complete response.
 
-        If a reused connection ends before the first byte of a response, the
-        request is sent once more on a new one, so requests have to be
-        idempotent. A ``Host`` among the headers replaces the URL's host.
-        Raises ``NotConnected`` if nothing was sent, also if the timeout ended
-        before a connection was open, else ``CallFailed``.
+        If a reused connection ends before the first byte of a response, a
+        request that ``is_repeatable`` is sent once more on a new one. The
+        response to that one says nothing about the first one, which the server
+        may have executed, so this is meant for reads and renewals only.
+
+        A ``Host`` among the headers replaces the URL's host. Raises
+        ``NotConnected`` if nothing was sent, also if the timeout ended before a
+        connection was open, else ``CallFailed``.
         """
         parts = urlsplit(url)
         address = (parts.hostname or '', parts.port or _DEFAULT_PORT)
@@ -114,7 +127,11 @@
             try:
                 return await self._attempt(address, message, progress)
             except _StaleConnection:
-                return await self._attempt(address, message, progress)
+                # The other idle connections have probably ended, too.
+                await self._close_idle(address)
+                if not is_repeatable:
+                    raise
+            return await self._repeat(address, message, progress)
         if not progress.may_be_sent:
             raise NotConnected(f'no connection within {timeout_s} s')
         raise CallFailed(f'no response within {timeout_s} s')
@@ -125,7 +142,7 @@
         message: bytes,
         progress: _Progress,
     ) -> ClientResponse:
-        connection = await self._acquire(address, fresh=progress.may_be_sent)
+        connection = await self._acquire(address)
         progress.may_be_sent = True
         try:
             await connection.stream.send_all(message)
@@ -139,16 +156,32 @@
         await self._release(address, connection)
         return response
 
-    async def _acquire(self, address: Address, *, fresh: bool) -> _Connection:
+    async def _repeat(
+        self,
+        address: Address,
+        message: bytes,
+        progress: _Progress,
+    ) -> ClientResponse:
+        """Send a request again that the server may have executed."""
+        try:
+            return await self._attempt(address, message, progress)
+        except NotConnected as failure:
+            raise CallFailed(f'sent, but now {failure}') from failure
+
+    async def _acquire(self, address: Address) -> _Connection:
         idle = self._idle_connections.setdefault(address, [])
         oldest_s = trio.current_time() - _MAX_IDLE_S
         while idle:
             connection = idle.pop()
-            if connection.idle_since_s >= oldest_s and not fresh:
+            if connection.is_reusable(oldest_s):
                 return connection
             await trio.aclose_forcefully(connection.stream)
         return await self._open(address)
 
+    async def _close_idle(self, address: Address) -> None:
+        for connection in self._idle_connections.pop(address, ()):
+            await trio.aclose_forcefully(connection.stream)
+
     async def _open(self, address: Address) -> _Connection:
         try:
             with trio.fail_after(self.connect_timeout_s):
--- a/src/marjoramwharf/platform/kv_store.py
+++ b/src/marjoramwharf/platform/kv_store.py
@@ -241,6 +241,7 @@
                 'GET',
                 self._base + path,
                 timeout_s=max(self._timeout_s, wait_s),
+                is_repeatable=True,
             )
         except CallFailed as failure:
             raise StoreUnavailable(message=str(failure)) from failure
--- a/src/marjoramwharf/platform/worker_client.py
+++ b/src/marjoramwharf/platform/worker_client.py
@@ -202,7 +202,9 @@
             expires_ms=order.expires_ms,
             wait_ms=order.wait_ms,
         )
-        answer = await self._send(worker, '/hold', body, timeout_s)
+        answer = await self._send(
+            worker, '/hold', body, timeout_s, is_repeatable=True
+        )
         if isinstance(answer, OrderOutcome):
             return HoldReport(answer)
         if not answer.is_success:
@@ -236,6 +238,8 @@
         path: str,
         body: Any,
         timeout_s: float,
+        *,
+        is_repeatable: bool = False,
     ) -> ClientResponse | OrderOutcome:
         try:
             return await self._client.request(
@@ -247,6 +251,7 @@
                 },
                 body=json.encode(body),
                 timeout_s=timeout_s,
+                is_repeatable=is_repeatable,
             )
         except NotConnected:
             return OrderOutcome.NOT_SENT
--- a/tests/links/test_http.py
+++ b/tests/links/test_http.py
@@ -8,6 +8,7 @@
 from contextlib import ExitStack, asynccontextmanager
 
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from marjoramwharf.links.http_client import (
     CallFailed,
@@ -22,6 +23,7 @@
     HttpServer,
     open_listener,
 )
+from tests.links.raw_server import raw_server
 
 
 async def _echo(request: HttpRequest) -> HttpResponse:
@@ -71,6 +73,27 @@
         """
         trio.run(self._connect_times_out)
 
+    def test_sent_and_then_refused(self) -> None:
+        """Guards against a sent request that is reported as not sent.
+
+        The reused connection ends without a response, and new ones are refused.
+        """
+        trio.run(self._sent_and_then_refused)
+
+    def test_repeat(self) -> None:
+        """Guards against a second write, and against a read that isn't retried.
+
+        The reused connection ends without a response.
+        """
+        trio.run(self._repeat)
+
+    def test_unasked_response(self) -> None:
+        """Guards against bytes sent before the request that are its response.
+
+        The server says that it closes an idle connection.
+        """
+        trio.run(self._unasked_response)
+
     def test_drain(self) -> None:
         """Guards against a planned stop that aborts an active request."""
         trio.run(self._drain)
@@ -138,6 +161,48 @@
                         timeout_s=0.2,
                     )
 
+    async def _sent_and_then_refused(self) -> None:
+        for is_repeatable in (False, True):
+            async with raw_server() as server:
+                client = HttpClient()
+                await client.request('GET', server.url, timeout_s=2)
+                server.is_silent = True
+                await server.listener.aclose()
+                with self.assertRaises(CallFailed) as caught:
+                    await client.request(
+                        'POST',
+                        server.url,
+                        timeout_s=2,
+                        is_repeatable=is_repeatable,
+                    )
+            self.assertNotIsInstance(caught.exception, NotConnected)
+            self.assertEqual(2, server.requests_count)
+
+    async def _repeat(self) -> None:
+        client = HttpClient()
+        async with raw_server() as server:
+            await client.request('GET', server.url, timeout_s=2)
+            server.silent_requests_count = 1
+            answer = await client.request(
+                'GET', server.url, timeout_s=2, is_repeatable=True
+            )
+            self.assertEqual(200, answer.status)
+            server.silent_requests_count = 1
+            with self.assertRaises(CallFailed):
+                await client.request('POST', server.url, timeout_s=2)
+            self.assertEqual(4, server.requests_count)
+
+    async def _unasked_response(self) -> None:
+        client = HttpClient()
+        async with raw_server() as server:
+            await client.request('GET', server.url, timeout_s=2)
+            await wait_all_tasks_blocked()
+            await server.streams[0].send_all(
+                b'HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n'
+            )
+            answer = await client.request('POST', server.url, timeout_s=2)
+            self.assertEqual(200, answer.status)
+
     async def _drain(self) -> None:
         client = HttpClient()
         answers: list[bytes] = []
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -18,6 +18,7 @@
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.platform.worker_client import PlatformWorkerClient
 from marjoramwharf.scheduling.job_state import RunEnd
+from tests.links.raw_server import raw_server
 from tests.platform.serving import Script, scripted
 
 _TASK = TaskId('5c0e7a21d94b36f8.0.1.17')
@@ -56,6 +57,30 @@
         """Guards against a lost answer that is taken for a refusal."""
         trio.run(self._no_answer)
 
+    def test_order_is_cut_off(self) -> None:
+        """Guards against a start order that may have run and counts as unsent.
+
+        The connection is cut while the worker starts the run, and the worker
+        then refuses new connections, or answers there that it is unhealthy.
+        """
+        trio.run(self._order_is_cut_off)
+
+    async def _order_is_cut_off(self) -> None:
+        async with scripted((200, {}), None, (503, {})) as script:
+            for outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
+                answer = await self.worker_client.start(
+                    _address(script), _START, timeout_s=2
+                )
+                self.assertIs(outcome, answer.outcome)
+            self.assertEqual(2, len(script.requests))
+        async with raw_server() as server:
+            worker = WorkerAddress(WorkerId('i-2'), '127.0.0.1', server.port)
+            await self.worker_client.start(worker, _START, timeout_s=2)
+            server.is_silent = True
+            await server.listener.aclose()
+            answer = await self.worker_client.start(worker, _START, timeout_s=2)
+            self.assertIs(OrderOutcome.UNKNOWN, answer.outcome)
+
     async def _start(self) -> None:
         async with scripted((200, {'ClockMs': 482113})) as script:
             answer = await self.worker_client.start(
