Answer 'not stored' only for a write that was provably not applied

Ruled out: late writes after a known refusal (each attempt has the condition that the key is absent), and refusals before a write is sent.

--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -140,20 +140,21 @@
         write = Write(key, encode(request))
         try:
             outcome = await self.store.commit([Guard(key, 0)], [write])
-        except StoreAnswerLost as lost_answer:
+        except StoreUnavailable as refusal:
             _LOG.info(
-                'submission outcome unknown',
+                'submission refused',
                 job=request.job_id,
-                error=str(lost_answer),
+                error=str(refusal),
             )
-            return SubmissionOutcome.UNKNOWN
+            return SubmissionOutcome.REFUSED
         except Failure as failure:
+            # No other failure proves that nothing was applied.
             _LOG.info(
-                'submission refused',
+                'submission outcome unknown',
                 job=request.job_id,
                 error=str(failure),
             )
-            return SubmissionOutcome.REFUSED
+            return SubmissionOutcome.UNKNOWN
         self._log_accepted(request, outcome)
         return SubmissionOutcome.ACCEPTED
 
--- a/src/marjoramwharf/cells/progress_writer.py
+++ b/src/marjoramwharf/cells/progress_writer.py
@@ -20,7 +20,7 @@
     encode,
     progress_key,
 )
-from marjoramwharf.errors import Failure, NotOwner, StoreAnswerLost
+from marjoramwharf.errors import Failure, NotOwner, StoreUnavailable
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.backoff import Backoff
 from marjoramwharf.links.store import (
@@ -156,14 +156,15 @@
         began_s = trio.current_time()
         try:
             outcome = await self.store.commit(guards, writes)
-        except StoreAnswerLost as lost_answer:
-            self._record_failure(lost_answer, group)
-            for unanswered in group:
-                job_id = unanswered.job.job_id
-                self._unanswered.setdefault(job_id, []).append(unanswered)
+        except StoreUnavailable as refusal:
+            self._record_failure(refusal, group)
             return True
         except Failure as failure:
+            # No other failure proves that nothing was applied.
             self._record_failure(failure, group)
+            for unanswered in group:
+                job_id = unanswered.job.job_id
+                self._unanswered.setdefault(job_id, []).append(unanswered)
             return True
         if isinstance(outcome, Conflict):
             self._resolve_conflict(group, outcome)
--- a/src/marjoramwharf/links/store_relay.py
+++ b/src/marjoramwharf/links/store_relay.py
@@ -10,6 +10,7 @@
 import trio
 
 from marjoramwharf.errors import (
+    BadFrame,
     Failure,
     PeerRefused,
     PeerUnreachable,
@@ -195,12 +196,12 @@
     )
     try:
         reply = await client.call(message, timeout_s=timeout_s)
-    except (PeerUnreachable, PeerRefused) as failure:
+        if reply.status == CallOutcome.DONE:
+            return decode_reply(reply.body)
+    except (PeerUnreachable, PeerRefused, BadFrame) as failure:
         raise StoreAnswerLost(
             message=f'store call through a peer failed: {failure}',
         ) from failure
-    if reply.status == CallOutcome.DONE:
-        return decode_reply(reply.body)
     raise make_failure(reply.status, reply.body.decode('utf-8', 'replace'))
 
 
--- a/src/marjoramwharf/platform/job_api.py
+++ b/src/marjoramwharf/platform/job_api.py
@@ -11,7 +11,7 @@
 from marjoramwharf.cells.clocks import wall_ms
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.submission_outcome import SubmissionOutcome
-from marjoramwharf.errors import BadJob, Failure
+from marjoramwharf.errors import BadJob, Failure, StoreUnavailable
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.http_server import HttpRequest, HttpResponse
 from marjoramwharf.logs import part_logger
@@ -33,7 +33,7 @@
 _NO_JOB = HttpResponse(410, b'{"Error":"no such job"}')
 _BAD_METHOD = HttpResponse(405, b'{"Error":"method not allowed"}')
 _OUTCOME_UNKNOWN = HttpResponse(504, b'{"Error":"outcome unknown"}')
-# Also the answer to a cancellation that failed.
+# Also the answer to a cancellation that was certainly not stored.
 _STATE_UNAVAILABLE = HttpResponse(503, b'{"Error":"state can not be read"}')
 _NOT_READY = HttpResponse(
     503,
@@ -105,14 +105,12 @@
         except BadJob as bad:
             _LOG.info('malformed job refused', job=job_id, error=str(bad))
             return HttpResponse(400, b'{"Error":"malformed job"}')
-        except Failure as failure:
-            _LOG.info(
-                'request for a job failed',
-                job=job_id,
-                method=request.method,
-                error=str(failure),
-            )
+        except StoreUnavailable as refusal:
+            _log_failed(request, job_id, refusal)
             return _STATE_UNAVAILABLE
+        except Failure as failure:
+            _log_failed(request, job_id, failure)
+            return _OUTCOME_UNKNOWN
         return _BAD_METHOD
 
     async def _submit(
@@ -160,6 +158,15 @@
         return HttpResponse(200, job_bodies.encode_waiting_count(count))
 
 
+def _log_failed(request: HttpRequest, job_id: JobId, failure: Failure) -> None:
+    _LOG.info(
+        'request for a job failed',
+        job=job_id,
+        method=request.method,
+        error=str(failure),
+    )
+
+
 def _deadline_s(request: HttpRequest, queue: QueuePolicy) -> float:
     """Return the latest trio time at which the answer may be sent."""
     allowed_ms = float(queue.timeout_ms)
--- a/src/marjoramwharf/platform/kv_store.py
+++ b/src/marjoramwharf/platform/kv_store.py
@@ -180,8 +180,7 @@
         )
         answer = await self._post('/kv-txn', body)
         if answer.status == _CONDITION_FAILED:
-            page = _decode_answer(answer, _Page)
-            return Conflict(tuple(_decode_item(item) for item in page.items))
+            return _decode_conflict(answer)
         if answer.status == _NOT_FOUND:
             raise LeaseEnded(message='the lease of a write has ended')
         return _decode_committed(answer)
@@ -317,6 +316,19 @@
         raise
 
 
+def _decode_conflict(answer: ClientResponse) -> Conflict:
+    """Decode the values that a condition of a commit doesn't allow.
+
+    Raises ``StoreAnswerLost`` if they can't be read: they may be those of this
+    commit, sent before without an answer.
+    """
+    try:
+        page = _decode_answer(answer, _Page)
+        return Conflict(tuple(_decode_item(item) for item in page.items))
+    except StoreRefused as failure:
+        raise StoreAnswerLost(message=str(failure)) from failure
+
+
 def _decode_item(item: _Item) -> StoredValue:
     try:
         body = b64decode(item.value, validate=True)
--- a/tests/links/test_relayed_store.py
+++ b/tests/links/test_relayed_store.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from functools import partial
+from unittest.mock import patch
 
 import trio
 from hypothesis import given
@@ -26,7 +27,11 @@
 from marjoramwharf.links.peer_server import PeerServer
 from marjoramwharf.links.relayed_store import RelayedStore
 from marjoramwharf.links.store import Committed, Guard, Write
-from marjoramwharf.links.store_calls import decode_call, decode_reply
+from marjoramwharf.links.store_calls import (
+    StoreReply,
+    decode_call,
+    decode_reply,
+)
 from marjoramwharf.links.store_reachability import StoreReachability
 from marjoramwharf.links.store_relay import (
     PeerAddress,
@@ -37,6 +42,11 @@
 from standins.polling_store import PollingMemoryStore
 
 _SECRET = 'a-secret-of-16-bytes'
+_ENCODE_REPLY = 'marjoramwharf.links.store_relay.encode_reply'
+
+
+def _encode_junk(_reply: StoreReply) -> bytes:
+    return b'\x9d' * 300
 
 
 def _identity(name: str) -> PeerIdentity:
@@ -115,6 +125,10 @@
         """Guards against "not applied" for a call that a peer may have made."""
         trio.run(self._failures)
 
+    def test_unreadable_reply(self) -> None:
+        """Guards against "not applied" for a call whose reply is unreadable."""
+        trio.run(self._unreadable_reply)
+
     def test_store_down_for_all(self) -> None:
         """Guards against relaying to peers that can't reach the store."""
         trio.run(self._down_for_all)
@@ -171,6 +185,14 @@
             with self.assertRaises(HistoryLost):
                 await entries.store.poll('b', after_revision=0, wait_ms=10)
 
+    async def _unreadable_reply(self) -> None:
+        async with _open_entries() as entries:
+            await entries.make_unreachable()
+            with patch(_ENCODE_REPLY, _encode_junk):
+                with self.assertRaises(StoreAnswerLost):
+                    await entries.store.commit([], [Write('b', b'1')])
+            self.assertIn('b', entries.peer_store.state.stored)
+
     async def _down_for_all(self) -> None:
         async with _open_entries() as entries:
             await entries.make_unreachable()
