Ask for advice on other steps while one gets no ticket

Cause: TicketCache always asked for the first ready step without usable tickets, and a hopeless step stays the first; so does one without a usable worker, and one whose calls fail.

The step with the fewest attempts in vain goes first now, failing calls of a step back off, and refusals are kept for the life of a worker, since the service's answer doesn't change. Ruled out: the planner, which leaves steps with tickets out of its unplaceable steps.

--- a/src/marjoramwharf/cells/advice.py
+++ b/src/marjoramwharf/cells/advice.py
@@ -2,8 +2,9 @@
 
 Queues with an advice policy start a task only on a worker for which the
 service has issued a ticket. The service handles one call at a time for each
-caller, so steps are queried one after the other, those that became ready first
-before others, and each call names only some of the workers.
+caller, so steps are queried one after the other, and each call names only some
+of the workers. Steps without success come after all others, so that one that no
+worker may run doesn't keep the others waiting.
 """
 
 from __future__ import annotations
@@ -12,14 +13,12 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-import trio
-
 from marjoramwharf.cells.auto_reset_event import AutoResetEvent
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.errors import Failure
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.logs import part_logger
-from marjoramwharf.scheduling.fleet import Fleet
+from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.job_state import Step, Task
 from marjoramwharf.scheduling.job_table import JobTable, job_of
 from marjoramwharf.scheduling.ordering import queue_of
@@ -29,13 +28,18 @@
 _MS_PER_S = 1_000
 _MAX_ASKED_WORKERS_COUNT = 30
 _IDLE_POLL_S = 0.2
-_RETRY_PAUSE_S = 0.3
+_INITIAL_RETRY_PAUSE_S = 0.3
+_MAX_RETRY_PAUSE_S = 3.0
+_MAX_DOUBLINGS = 5
 
 # A ticket is not used in the last part of its validity, since the start order
 # has to reach the worker before the ticket expires.
 _USABLE_VALIDITY_SHARE = 0.7
 
 
+_WorkerLife = tuple[WorkerId, int]
+
+
 @dataclass(frozen=True, slots=True)
 class Advice:
     """Tickets by worker, valid for ``valid_ms`` from the start of the call."""
@@ -62,11 +66,44 @@
 
 @dataclass(slots=True)
 class _StepTickets:
-    """Tickets of one step, and the workers that got none when asked for."""
+    """Tickets of one step, and the workers that got none when asked for.
+
+    A refusal holds for the life of a worker, which its start time identifies.
+    Since the latest ticket, ``failures_count`` attempts brought none; the next
+    one is made at ``next_attempt_s`` at the earliest.
+    """
 
     tickets: dict[WorkerId, str] = field(default_factory=dict)
     usable_until_s: float = 0
-    refused: set[WorkerId] = field(default_factory=set)
+    refused: set[_WorkerLife] = field(default_factory=set)
+    failures_count: int = 0
+    next_attempt_s: float = 0
+
+    def needs_tickets(self, now_s: float) -> bool:
+        """Whether an attempt to get tickets is due."""
+        return self.usable_until_s <= now_s and self.next_attempt_s <= now_s
+
+    def record_failure(self, now_s: float, *, pause_s: float) -> None:
+        """Record an attempt without a ticket, and when to try again."""
+        self.failures_count += 1
+        self.next_attempt_s = now_s + pause_s
+
+    def record_answer(
+        self, workers: Sequence[Worker], advice: Advice, asked_s: float
+    ) -> None:
+        """Keep the tickets and the refusals of an answer."""
+        self.tickets = advice.tickets
+        self.refused.update(
+            _life_of(worker)
+            for worker in workers
+            if worker.worker_id not in advice.tickets
+        )
+        if not advice.tickets:
+            self.record_failure(asked_s, pause_s=0)
+            return
+        valid_s = advice.valid_ms / _MS_PER_S
+        self.usable_until_s = asked_s + valid_s * _USABLE_VALIDITY_SHARE
+        self.failures_count = 0
 
 
 @dataclass(slots=True)
@@ -101,15 +138,11 @@
     async def run(self) -> None:
         """Request missing tickets until cancelled."""
         while True:
-            task = self._next_task_without_tickets()
+            task = self._next_task_without_tickets(boot_s())
             if task is None:
                 await self._wake_event.wait(timeout_s=_IDLE_POLL_S)
-                continue
-            try:
+            else:
                 await self._request_tickets(task)
-            except Failure as failure:
-                _LOG.info('advice failed', task=task.name, error=str(failure))
-                await trio.sleep(_RETRY_PAUSE_S)
 
     def _advice_policy(self, task: Task) -> AdvicePolicy | None:
         configuration = self.configuration()
@@ -117,41 +150,55 @@
             return None
         return queue_of(task, configuration.queues).advice
 
-    def _next_task_without_tickets(self) -> Task | None:
-        """Return the first ready task whose step has no usable tickets."""
-        ready_step_ids = {
-            id(task.step) for task in self.job_table.ready.values()
-        }
-        for step_id in self._tickets_by_step.keys() - ready_step_ids:
+    def _next_task_without_tickets(self, now_s: float) -> Task | None:
+        """Return a ready task whose step is due for a request, if any.
+
+        The step with the fewest attempts in vain goes first, and among equal
+        ones the one that became ready first.
+        """
+        first_tasks: dict[int, Task] = {}
+        for ready in self.job_table.ready.values():
+            first_tasks.setdefault(id(ready.step), ready)
+        for step_id in self._tickets_by_step.keys() - first_tasks.keys():
             self._tickets_by_step.pop(step_id)
-        for task in self.job_table.ready.values():
-            if self._advice_policy(task) is not None:
-                cached = self._tickets_by_step.get(id(task.step))
-                if cached is None or cached.usable_until_s <= boot_s():
-                    return task
-        return None
+        due = [
+            task
+            for task in first_tasks.values()
+            if self._advice_policy(task) is not None
+            and self._tickets_of(task).needs_tickets(now_s)
+        ]
+        return min(
+            due,
+            key=lambda task: self._tickets_of(task).failures_count,
+            default=None,
+        )
+
+    def _tickets_of(self, task: Task) -> _StepTickets:
+        return self._tickets_by_step.setdefault(id(task.step), _StepTickets())
 
     async def _request_tickets(self, task: Task) -> None:
-        """Ask for some workers; when all were refused, start anew later."""
+        """Ask for some workers, unless all usable ones were refused."""
         policy = self._advice_policy(task)
-        cached = self._tickets_by_step.setdefault(id(task.step), _StepTickets())
-        workers = self._candidates(task, cached)
+        step_tickets = self._tickets_of(task)
+        now_s = boot_s()
+        workers = self._candidates(task, step_tickets, now_s)
         if policy is None or self.client is None or not workers:
-            cached.refused.clear()
-            await trio.sleep(_IDLE_POLL_S)
+            step_tickets.record_failure(now_s, pause_s=_IDLE_POLL_S)
             return
-        asked_s = boot_s()
         expected_ms = policy.decision_ms + policy.per_worker_ms * len(workers)
-        advice = await self.client.advise(
-            task.name.rpartition('.')[0],
-            workers,
-            timeout_s=1 + 2 * expected_ms / _MS_PER_S,
-        )
-        cached.tickets = advice.tickets
-        cached.refused.update(set(workers) - set(advice.tickets))
-        if advice.tickets:
-            valid_s = advice.valid_ms / _MS_PER_S
-            cached.usable_until_s = asked_s + valid_s * _USABLE_VALIDITY_SHARE
+        try:
+            advice = await self.client.advise(
+                task.name.rpartition('.')[0],
+                [worker.worker_id for worker in workers],
+                timeout_s=1 + 2 * expected_ms / _MS_PER_S,
+            )
+        except Failure as failure:
+            _LOG.info('advice failed', task=task.name, error=str(failure))
+            step_tickets.record_failure(
+                boot_s(), pause_s=_retry_pause_s(step_tickets.failures_count)
+            )
+            return
+        step_tickets.record_answer(workers, advice, now_s)
         _LOG.info(
             'advice',
             step=task.name,
@@ -160,9 +207,10 @@
         )
         self.on_change()
 
-    def _candidates(self, task: Task, cached: _StepTickets) -> list[WorkerId]:
+    def _candidates(
+        self, task: Task, step_tickets: _StepTickets, now_s: float
+    ) -> list[Worker]:
         """Return usable workers without a refusal, least loaded first."""
-        now_s = boot_s()
         configuration = self.configuration()
         queues = {} if configuration is None else configuration.queues
         service = queue_of(task, queues).service or job_of(task).request.service
@@ -171,14 +219,20 @@
             for worker in self.fleet.workers_of(service)
             if worker.is_usable(now_s)
             and worker.could_ever_run(task.step.request)
+            and _life_of(worker) not in step_tickets.refused
         ]
         usable.sort(
             key=lambda worker: (
                 worker.reserved_millicores + worker.filling_millicores
             )
         )
-        return [
-            worker.worker_id
-            for worker in usable
-            if worker.worker_id not in cached.refused
-        ][:_MAX_ASKED_WORKERS_COUNT]
+        return usable[:_MAX_ASKED_WORKERS_COUNT]
+
+
+def _life_of(worker: Worker) -> _WorkerLife:
+    return worker.worker_id, worker.born_ms
+
+
+def _retry_pause_s(failures_count: int) -> float:
+    factor: int = 2 ** min(failures_count, _MAX_DOUBLINGS)
+    return min(_INITIAL_RETRY_PAUSE_S * factor, _MAX_RETRY_PAUSE_S)
