Judge the jobs of a withdrawn queue by the policy they were accepted under

Cause: queue_of fell back to a policy of default values with three attempts.

The policy is stored with the job at its acceptance, and read as default values for jobs stored before.

--- a/src/marjoramwharf/platform/job_bodies.py
+++ b/src/marjoramwharf/platform/job_bodies.py
@@ -10,6 +10,7 @@
 from marjoramwharf.errors import BadJob
 from marjoramwharf.ids import JobId
 from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.scheduling.accepted_policy import accepted_policy
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 
@@ -99,6 +100,7 @@
         repeat_count=job.repeat_count,
         first_due_ms=job.initial_ms,
         interval_ms=job.interval_ms,
+        policy=accepted_policy(queue),
     )
 
 
--- a/src/marjoramwharf/scheduling/ordering.py
+++ b/src/marjoramwharf/scheduling/ordering.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from marjoramwharf.scheduling.accepted_policy import withdrawn_queue
 from marjoramwharf.scheduling.job_state import Step, Task
 from marjoramwharf.scheduling.job_table import job_of
 from marjoramwharf.scheduling.policy import QueuePolicy
@@ -84,17 +85,11 @@
 def queue_of(task: Task, queues: Mapping[str, QueuePolicy]) -> QueuePolicy:
     """Return the policy of the queue of a task's job.
 
-    If the configuration no longer has the queue, the policy has default values
-    and the service that the job was accepted for.
+    If the configuration lacks the queue, that is the policy under which the job
+    was accepted.
     """
     request = job_of(task).request
     found = queues.get(request.queue)
     if found is not None:
         return found
-    return QueuePolicy(
-        name=request.queue,
-        host='',
-        prefix='',
-        service=request.service,
-        max_attempts=3,
-    )
+    return withdrawn_queue(request.queue, request.service, request.policy)
--- a/src/marjoramwharf/scheduling/workload.py
+++ b/src/marjoramwharf/scheduling/workload.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from marjoramwharf.ids import JobId, TaskId
+from marjoramwharf.scheduling.accepted_policy import AcceptedPolicy
 
 
 class StepRequest(Struct, frozen=True, array_like=True):
@@ -53,7 +54,8 @@
 
     ``payload`` is passed to each task unparsed. A job with a ``repeat_count``
     runs its steps that many times; occurrence K is due at ``first_due_ms`` +
-    K x ``interval_ms`` of wall-clock time.
+    K x ``interval_ms`` of wall-clock time. ``policy`` applies when the queue
+    has been withdrawn.
     """
 
     job_id: JobId
@@ -65,6 +67,7 @@
     repeat_count: int = 0
     first_due_ms: int = 0
     interval_ms: int = 0
+    policy: AcceptedPolicy = AcceptedPolicy()
 
     @property
     def occurrences_count(self) -> int:
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Any
 
 import trio
 from trio.testing import MockClock
@@ -66,7 +67,7 @@
     name: str,
     *steps: StepRequest,
     payload: str = 'ms=200',
-    **fields: int,
+    **fields: Any,
 ) -> JobRequest:
     """Return a request; ``name`` is padded to a job id."""
     return JobRequest(
