Give every number that others write a range, and check addresses

Fuzzing all decoders of the cells shows that it could happen here in part: numbers of any size were decoded and failed far away (a start time of 2^64 in a worker's report ended each tenure that planned a run there; an accepted job could not be encoded, 502 instead of 400), and a port out of range raised OverflowError out of the link to an owner and the relay. One request could also fill the owner's memory (64 steps of 5,000 tasks, or 10^9 occurrences due at once).

The stand-in platform lists odd entries in all tests with real processes.

Deep nesting was ruled out: it was refused before.

--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -15,6 +15,7 @@
 
 from marjoramwharf.errors import JournalDamaged
 from marjoramwharf.ids import JobId, WorkerId
+from marjoramwharf.json_bodies import Port
 from marjoramwharf.scheduling.interference import KnownWeight
 from marjoramwharf.scheduling.job_state import (
     Job,
@@ -38,7 +39,7 @@
 
     entry_id: str
     host: str
-    port: int
+    port: Port
     secret: str
 
 
--- a/src/marjoramwharf/json_bodies.py
+++ b/src/marjoramwharf/json_bodies.py
@@ -1,10 +1,24 @@
-"""Decodes JSON that comes from outside the process."""
+"""Decodes JSON that comes from outside the process.
+
+Numbers of models that are decoded from outside have a range: one that is too
+large for a float or for the stored form of a record would fail far from here.
+"""
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
+
+from msgspec import DecodeError, Meta, json
+
+# Integers up to this one are exact as floats.
+_MAX_EXACT = 2**53
+_MAX_STORED = 2**63 - 1
 
-import msgspec
+Amount = Annotated[int, Meta(ge=0, le=_MAX_EXACT)]
+SignedAmount = Annotated[int, Meta(ge=-_MAX_EXACT, le=_MAX_EXACT)]
+Ratio = Annotated[float, Meta(ge=0, le=_MAX_EXACT)]
+Serial = Annotated[int, Meta(ge=0, le=_MAX_STORED)]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
 
 _Model = TypeVar('_Model')
 
@@ -19,8 +33,8 @@
     [1]
     """
     try:
-        decoded: _Model = msgspec.json.decode(raw, type=model)
+        decoded: _Model = json.decode(raw, type=model)
     except (RecursionError, UnicodeError) as failure:
         message = f'unreadable: {type(failure).__name__}'
-        raise msgspec.DecodeError(message) from failure
+        raise DecodeError(message) from failure
     return decoded
--- a/src/marjoramwharf/links/members.py
+++ b/src/marjoramwharf/links/members.py
@@ -33,6 +33,7 @@
     LeaseId,
     random_id,
 )
+from marjoramwharf.json_bodies import Port, decode_json
 from marjoramwharf.links.backoff import Backoff
 from marjoramwharf.links.store import (
     Committed,
@@ -75,8 +76,8 @@
     incarnation: Incarnation
     data_centre: DataCentreId
     host: str
-    peer_port: int
-    http_port: int
+    peer_port: Port
+    http_port: Port
     state: MemberState = MemberState.LIVE
 
 
@@ -315,7 +316,7 @@
 def _decode(stored: StoredValue) -> Member | None:
     """Decode a record; return ``None`` if it is malformed."""
     try:
-        return msgspec.json.decode(stored.body, type=Member)
+        return decode_json(stored.body, Member)
     except msgspec.MsgspecError as failure:
         _log.warning(
             'malformed member record', key=stored.key, cause=str(failure)
--- a/src/marjoramwharf/links/store_calls.py
+++ b/src/marjoramwharf/links/store_calls.py
@@ -117,6 +117,7 @@
     CallOutcome.ANSWER_LOST: StoreAnswerLost,
     CallOutcome.UNAVAILABLE: StoreUnavailable,
 }
+_DECODE_FAILURES = (DecodeError, RecursionError, UnicodeError)
 _OUTCOMES = {failure: outcome for outcome, failure in _FAILURES.items()}
 
 
@@ -174,7 +175,7 @@
     """Decode the call of a peer; raises ``BadFrame``."""
     try:
         return msgpack.decode(raw, type=StoreCall)
-    except DecodeError as failure:
+    except _DECODE_FAILURES as failure:
         raise BadFrame(message=f'malformed store call: {failure}') from failure
 
 
@@ -187,7 +188,7 @@
     """Decode the result of a call from a peer; raises ``BadFrame``."""
     try:
         return msgpack.decode(raw, type=StoreReply)
-    except DecodeError as failure:
+    except _DECODE_FAILURES as failure:
         raise BadFrame(message=f'malformed store reply: {failure}') from failure
 
 
--- a/src/marjoramwharf/platform/advice_client.py
+++ b/src/marjoramwharf/platform/advice_client.py
@@ -9,7 +9,7 @@
 from marjoramwharf.cells.advice import Advice
 from marjoramwharf.errors import AdviceUnavailable
 from marjoramwharf.ids import WorkerId
-from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.json_bodies import Amount, decode_json
 from marjoramwharf.links.http_client import CallFailed, HttpClient
 
 
@@ -24,7 +24,7 @@
     """``Good`` has rows of a worker's id and the ticket to run there."""
 
     good: tuple[tuple[str, str], ...] = ()
-    valid_ms: int = 0
+    valid_ms: Amount = 0
 
 
 class PlatformAdviceClient:
--- a/src/marjoramwharf/platform/job_bodies.py
+++ b/src/marjoramwharf/platform/job_bodies.py
@@ -9,7 +9,7 @@
 from marjoramwharf.cells.job_status import PublicJobState
 from marjoramwharf.errors import BadJob
 from marjoramwharf.ids import JobId
-from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.json_bodies import SignedAmount, decode_json
 from marjoramwharf.scheduling.accepted_policy import accepted_policy
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
@@ -17,7 +17,11 @@
 _MAX_TASKS = 5_000
 _MAX_STEPS = 64
 
-_Size = Annotated[int, Meta(ge=0, le=2_000_000_000)]
+# Protects the memory of the owner, which holds each task of an open job.
+_MAX_TASKS_OF_JOB = 20_000
+
+_MAX_SIZE = 2_000_000_000
+_Size = Annotated[int, Meta(ge=0, le=_MAX_SIZE)]
 
 _STATE_BODIES = {
     PublicJobState.QUEUED: b'{"State":"queued"}',
@@ -52,7 +56,7 @@
     allow_duplicates: bool = False
     long_running: bool = False
     image: str | None = None
-    target_ms: float = 0
+    target_ms: Annotated[float, Meta(ge=0, le=_MAX_SIZE)] = 0
     fills: bool = False
     may_miss: _Size = 0
 
@@ -66,8 +70,8 @@
     ]
     task_spec: str = ''
     repeat_count: _Size = 0
-    initial_ms: int = 0
-    interval_ms: int = 0
+    initial_ms: SignedAmount = 0
+    interval_ms: SignedAmount = 0
 
 
 def decode_job(
@@ -79,17 +83,14 @@
 ) -> JobRequest:
     """Decode the body of a submission; raises ``BadJob``.
 
-    A step's ``After`` may only name steps that are listed before it.
+    A step's ``After`` may only name steps that are listed before it, and a job
+    that repeats needs an interval.
     """
     try:
         job = decode_json(raw, _Job)
     except DecodeError as failure:
         raise BadJob(message=f'unreadable job: {failure}') from failure
-    for number, step in enumerate(job.steps):
-        if any(not 0 <= before < number for before in step.after):
-            raise BadJob(
-                message=f'step {number}: After must name earlier steps'
-            )
+    _check_job(job)
     return JobRequest(
         job_id=job_id,
         queue=queue.name,
@@ -104,6 +105,19 @@
     )
 
 
+def _check_job(job: _Job) -> None:
+    """Check what concerns several fields; raises ``BadJob``."""
+    for number, step in enumerate(job.steps):
+        if any(not 0 <= before < number for before in step.after):
+            raise BadJob(
+                message=f'step {number}: After must name earlier steps'
+            )
+    if sum(step.count for step in job.steps) > _MAX_TASKS_OF_JOB:
+        raise BadJob(message=f'more than {_MAX_TASKS_OF_JOB} tasks')
+    if job.repeat_count > 1 and job.interval_ms < 1:
+        raise BadJob(message='a job that repeats needs an interval')
+
+
 def encode_state(state: PublicJobState) -> bytes:
     """Return the body of an answer with a job's state."""
     return _STATE_BODIES[state]
--- a/src/marjoramwharf/platform/kv_store.py
+++ b/src/marjoramwharf/platform/kv_store.py
@@ -22,7 +22,7 @@
     StoreUnavailable,
 )
 from marjoramwharf.ids import LeaseId
-from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.json_bodies import Serial, decode_json
 from marjoramwharf.links.http_client import (
     CallFailed,
     HttpClient,
@@ -65,20 +65,20 @@
 
     key: str
     value: str = ''
-    revision: int = 0
-    created: int = 0
+    revision: Serial = 0
+    created: Serial = 0
     deleted: bool = False
 
 
 class _Page(Struct, frozen=True):
     items: tuple[_Item, ...] = ()
     has_more: bool = field(default=False, name='HasMore')
-    current_revision: int = field(default=0, name='CurrentRev')
+    current_revision: Serial = field(default=0, name='CurrentRev')
 
 
 class _WatchReply(Struct, frozen=True):
     events: tuple[_Item, ...] = ()
-    current_revision: int = field(default=0, name='CurrentRev')
+    current_revision: Serial = field(default=0, name='CurrentRev')
 
 
 class _Condition(Struct, frozen=True, rename='pascal'):
@@ -99,13 +99,13 @@
 
 
 class _CommitReply(Struct, frozen=True, rename='pascal'):
-    revision: int
+    revision: Serial
 
 
 class _LeaseReply(Struct, frozen=True, rename='pascal'):
     """``Lease`` is the id of a new lease."""
 
-    lease: int
+    lease: Serial
 
 
 class _LeaseRequest(Struct, frozen=True, rename='pascal'):
--- a/src/marjoramwharf/platform/operator_config.py
+++ b/src/marjoramwharf/platform/operator_config.py
@@ -5,7 +5,7 @@
 from msgspec import DecodeError, Struct, field
 
 from marjoramwharf.errors import BadNote
-from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.json_bodies import Amount, Ratio, decode_json
 from marjoramwharf.scheduling.policy import (
     AdvicePolicy,
     Configuration,
@@ -24,9 +24,9 @@
     it names, on top of ``DecisionMs``.
     """
 
-    decision_ms: int = 0
-    period_ms: int = 0
-    valid_ms: int = 0
+    decision_ms: Amount = 0
+    period_ms: Amount = 0
+    valid_ms: Amount = 0
 
 
 class _Route(Struct, frozen=True, rename='pascal'):
@@ -36,11 +36,11 @@
     host: str
     prefix: str
     service: str
-    timeout_ms: int = 3_000
-    target_latency_ms: int = 1_000
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1
+    timeout_ms: Amount = 3_000
+    target_latency_ms: Amount = 1_000
+    priority: Amount = 0
+    max_attempts: Amount = 1
+    stretch: Ratio = 1
     advice: _Advice | None = None
 
 
@@ -52,14 +52,14 @@
 
 
 class _Limits(Struct, frozen=True, rename='pascal'):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
-    header_timeout_ms: int = 5_000
-    idle_timeout_ms: int = 30_000
+    max_header_bytes: Amount = 16_384
+    max_body_bytes: Amount = 262_144
+    header_timeout_ms: Amount = 5_000
+    idle_timeout_ms: Amount = 30_000
 
 
 class _Config(Struct, frozen=True, rename='pascal'):
-    version: int
+    version: Amount
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = field(default_factory=_Limits)
--- a/src/marjoramwharf/platform/worker_client.py
+++ b/src/marjoramwharf/platform/worker_client.py
@@ -20,7 +20,7 @@
     WorkerAddress,
 )
 from marjoramwharf.ids import TaskId
-from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.json_bodies import Amount, Ratio, decode_json
 from marjoramwharf.links.http_client import (
     CallFailed,
     HttpClient,
@@ -105,7 +105,7 @@
 
 
 class _RefusalBody(Struct, frozen=True, rename='pascal'):
-    clock_ms: int | None = None
+    clock_ms: Amount | None = None
     reason: str = ''
 
 
@@ -117,16 +117,16 @@
     """
 
     task: str
-    run: int
+    run: Amount
     checkpoint: str = ''
-    percent: float = 0
-    reading: float = 0
+    percent: Ratio = 0
+    reading: Ratio = 0
 
 
 class _EndRow(Struct, frozen=True, array_like=True):
-    number: int
+    number: Amount
     task: str
-    run: int
+    run: Amount
     how: str
     checkpoint: str = ''
 
@@ -134,10 +134,10 @@
 class _HoldReply(Struct, frozen=True):
     """``born`` is the Unix time of the worker's start in ms."""
 
-    clock_ms: int = field(name='ClockMs')
+    clock_ms: Amount = field(name='ClockMs')
     running: tuple[_RunRow, ...] = field(default=(), name='Running')
     ended: tuple[_EndRow, ...] = field(default=(), name='Ended')
-    born: int = 0
+    born: Amount = 0
 
 
 class PlatformWorkerClient:
--- a/src/marjoramwharf/platform/worker_listings.py
+++ b/src/marjoramwharf/platform/worker_listings.py
@@ -1,23 +1,28 @@
 """Decodes the listings that workers write of themselves into the store.
 
 A key below ``servers/`` may have been written by someone else. A listing that
-can't be decoded, or whose state is unknown, raises ``BadListing``, so that the
-worker gets no new runs.
+can't be decoded, whose state is unknown, or that has a number or an address
+which no worker can have, raises ``BadListing``, so that the worker gets no new
+runs.
 """
 
 from __future__ import annotations
 
 import enum
+from ipaddress import IPv4Address
 
-from msgspec import DecodeError, Struct
+from msgspec import DecodeError, Struct, convert
 
 from marjoramwharf.errors import BadListing
 from marjoramwharf.ids import DataCentreId, WorkerId
-from marjoramwharf.json_bodies import decode_json
+from marjoramwharf.json_bodies import Amount, Port, decode_json
 from marjoramwharf.scheduling.fleet import Resources, WorkerListing, WorkerState
 
 WORKERS_PREFIX = 'servers/'
 
+# One more than a port has, so that a longer text is out of range.
+_PORT_DIGITS = 6
+
 
 @enum.unique
 class _State(enum.Enum):
@@ -34,9 +39,9 @@
 class _Capacity(Struct, frozen=True, rename='pascal'):
     """``Cpu`` is in millicores; ``Gpu`` is a number of accelerators."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class _ListingBody(Struct, frozen=True, rename='pascal'):
@@ -48,14 +53,14 @@
     capacity: _Capacity
     zone: str = ''
     labels: tuple[str, ...] = ()
-    remaining_ms: int | None = None
+    remaining_ms: Amount | None = None
     machine: str = ''
 
 
 class _StartTimeBody(Struct, frozen=True):
     """``born`` is the Unix time of the worker's start in ms."""
 
-    born: int = 0
+    born: Amount = 0
 
 
 def worker_id_from_key(key: str) -> WorkerId:
@@ -91,5 +96,8 @@
 
 
 def _split_address(text: str) -> tuple[str, int]:
+    """Return the parts of ``IPv4:port``; raises ``ValueError``."""
     host, _, port = text.rpartition(':')
-    return (host, int(port))
+    if not (port.isascii() and port.isdecimal()):
+        raise ValueError(f'{text!r} has no port')
+    return str(IPv4Address(host)), convert(int(port[:_PORT_DIGITS]), Port)
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -26,6 +26,9 @@
 # tolerance that callers of scheduled jobs are promised.
 _EARLY_START_MS = 0
 
+# Bounds the memory of a job whose occurrences are due faster than they end.
+_MAX_OPEN_TASKS_COUNT = 20_000
+
 _FULL_PERCENT = 100
 _MIN_RUN_S = 0.01
 
@@ -75,11 +78,15 @@
             self._create_due(job, now_s, now_ms)
 
     def next_due_ms(self) -> int | None:
-        """Return the Unix time at which the next occurrence is due, if any."""
+        """Return the Unix time at which the next occurrence is due, if any.
+
+        A job with as many open tasks as it may have waits for their ends.
+        """
         return min(
             (
                 job.request.due_ms(job.next_occurrence)
                 for job in self._repeating.values()
+                if _may_add_occurrence(job)
             ),
             default=None,
         )
@@ -214,7 +221,8 @@
         request = job.request
         while job.is_open and job.next_occurrence < request.occurrences_count:
             due_ms = request.due_ms(job.next_occurrence)
-            if due_ms > now_ms + _EARLY_START_MS:
+            is_due = due_ms <= now_ms + _EARLY_START_MS
+            if not is_due or not _may_add_occurrence(job):
                 return
             self._create(job, job.next_occurrence, now_s, now_ms)
         self._repeating.pop(job.job_id, None)
@@ -306,6 +314,12 @@
         run.task.step.ended_progress_rates.append(done / elapsed_s)
 
 
+def _may_add_occurrence(job: Job) -> bool:
+    """Whether the open tasks of a job leave room for another occurrence."""
+    open_count = len(job.occurrences) * job.request.tasks_count
+    return open_count < _MAX_OPEN_TASKS_COUNT
+
+
 def job_of(task: Task) -> Job:
     """Return the job that a task belongs to."""
     return task.step.occurrence.job
--- a/src/marjoramwharf/scheduling/workload.py
+++ b/src/marjoramwharf/scheduling/workload.py
@@ -74,6 +74,11 @@
         """How many times the steps run."""
         return max(1, self.repeat_count)
 
+    @property
+    def tasks_count(self) -> int:
+        """How many tasks each occurrence has."""
+        return sum(step.count for step in self.steps)
+
     def due_ms(self, occurrence: int) -> int:
         """Wall-clock time before which no task of an occurrence starts."""
         if not self.repeat_count:
--- a/standins/platform_process.py
+++ b/standins/platform_process.py
@@ -10,7 +10,7 @@
 
 import argparse
 import json
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 import trio
 
@@ -28,6 +28,9 @@
 
 _SERVICE = 'presses'
 
+_ODD_PORT = 99_999
+_ODD_DEPTH = 50_000
+
 _SETTINGS = """Node={name}
 Zone=ruse
 Region=south
@@ -94,15 +97,32 @@
     return json.dumps(body).encode()
 
 
+def odd_listings() -> Iterator[Write]:
+    """Yield entries of another writer among those of the workers."""
+    good = json.loads(worker_listing(1, 'r1'))
+    deep = '[' * _ODD_DEPTH + ']' * _ODD_DEPTH
+    bodies = (
+        json.dumps({**good, 'Capacity': {'Cpu': 10**400, 'MemMb': 1}}),
+        json.dumps({**good, 'Address': f'{HOST}:{_ODD_PORT}'}),
+        json.dumps({**good, 'RemainingMs': 10**300, 'State': 'draining'}),
+        json.dumps({**good, 'Address': 'a' * 300}),
+        f'{{"Service":"{_SERVICE}","Labels":{deep}}}',
+        deep,
+    )
+    for number, body in enumerate(bodies):
+        yield Write(f'servers/odd{number}', body.encode())
+
+
 async def serve_platform(
     port: int, workers_count: int, listed_offset: int = 0
 ) -> None:
     """Serve the store and the workers until cancelled.
 
     The workers are listed with their ports and ``listed_offset`` more, where a
-    proxy may listen.
+    proxy may listen. The list also has entries that name no worker.
     """
     store = StoreEndpoint()
+    store.state.apply(list(odd_listings()))
     store.state.apply([Write('op/config', configuration(1))])
     async with trio.open_nursery() as nursery:
         for number in range(1, workers_count + 1):
--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from hypothesis import settings
@@ -25,6 +26,10 @@
     ),
     max_leaves=8,
 )
+_POWERS = (2**53 + 1, 2**63, 2**64, 10**300)
+extremes = st.sampled_from((-1, 65_536, *_POWERS, 1e308, '9' * 400))
+_DEPTH = 20_000
+_HOLE = 'hole'
 deep = st.sampled_from(('[' * 50_000, '{"a":' * 50_000))
 
 
@@ -44,3 +49,38 @@
 
 def _encode(text: str) -> bytes:
     return text.encode('utf-8', 'surrogatepass')
+
+
+def variants_of(example: Any) -> st.SearchStrategy[bytes]:
+    """Return bodies: the example with one part replaced, at any depth."""
+    paths = st.sampled_from(list(_paths(example)))
+    replaced = st.tuples(paths, trees | extremes).map(
+        lambda change: json.dumps(_replace(example, *change))
+    )
+    nested = paths.map(
+        lambda path: json.dumps(_replace(example, path, _HOLE)).replace(
+            f'"{_HOLE}"', '[' * _DEPTH + ']' * _DEPTH
+        )
+    )
+    return st.one_of(replaced, nested, deep).map(_encode)
+
+
+def _paths(tree: Any) -> Iterator[tuple[Any, ...]]:
+    """Yield the path to each part of a tree."""
+    yield ()
+    parts: Iterable[tuple[Any, Any]] = ()
+    if isinstance(tree, dict):
+        parts = tree.items()
+    elif isinstance(tree, list):
+        parts = enumerate(tree)
+    for key, part in parts:
+        yield from ((key, *path) for path in _paths(part))
+
+
+def _replace(tree: Any, path: tuple[Any, ...], part: Any) -> Any:
+    """Return a copy of a tree with another part at a path."""
+    if not path:
+        return part
+    changed = dict(tree) if isinstance(tree, dict) else list(tree)
+    changed[path[0]] = _replace(tree[path[0]], path[1:], part)
+    return changed
--- a/tests/scheduling/test_job_table.py
+++ b/tests/scheduling/test_job_table.py
@@ -14,6 +14,7 @@
     encode,
     restore_job,
 )
+from marjoramwharf.ids import JobId
 from marjoramwharf.scheduling.job_state import (
     JobPhase,
     Run,
@@ -22,6 +23,7 @@
     Task,
 )
 from marjoramwharf.scheduling.job_table import JobTable
+from marjoramwharf.scheduling.workload import JobRequest
 from tests.scheduling.fixtures import (
     add_job,
     first_task,
@@ -51,6 +53,32 @@
         self._end(runs[1], RunEnd.DONE)
         self.assertEqual(['j.0.1.0'], list(self.job_table.ready))
 
+    def test_many_due_occurrences(self) -> None:
+        """Guards against occurrences that fill the memory of the owner.
+
+        All of them are due at once; the next ones follow as others end.
+        """
+        request = JobRequest(
+            job_id=JobId('j'),
+            queue='q',
+            service='s',
+            payload='',
+            steps=(make_step(5_000),),
+            accepted_at_ms=0,
+            repeat_count=1_000_000,
+            first_due_ms=1,
+            interval_ms=1,
+        )
+        job = self.job_table.add(request, now_s=0, now_ms=10**9)
+        self.assertEqual([0, 1, 2, 3], list(job.occurrences))
+        self.assertIsNone(self.job_table.next_due_ms())
+        for task in job.occurrences[0].steps[0].tasks:
+            run = start_run(self.job_table, task, self.worker)
+            self._end(run, RunEnd.DONE)
+        self.assertIsNotNone(self.job_table.next_due_ms())
+        self.job_table.create_due_occurrences(now_s=1, now_ms=10**9)
+        self.assertEqual([1, 2, 3, 4], list(job.occurrences))
+
     def test_stage_times(self) -> None:
         """Guards against time of a late job that counts for a wrong stage."""
         job = add_job(self.job_table, 'j', make_step(2), make_step(after=(0,)))
