Let an order with an unexpected error count as unanswered

Any unexpected error there had the same effect.

Such an order counts as unanswered now, so the run is stopped before the task starts elsewhere. Before: test_order fails (the job isn't done within its limit). After: it passes, with the order carried out and without.

--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -18,6 +20,7 @@
     WorkerAddress,
 )
 from marjoramwharf.ids import TaskId
+from marjoramwharf.isolation import log_unexpected
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
@@ -144,26 +147,35 @@
         expires_ms = self.clock.grant_lease(self.context.hold_ms, now_s=now_s)
         if expires_ms is None:
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        return await self.context.worker_client.start(
-            self.address,
-            StartOrder(
-                task=run.task.name,
-                run=run.number,
-                payload=job_of(run.task).request.payload,
-                expires_ms=expires_ms,
-                fence=self.context.fence,
-                checkpoint=run.task.checkpoint,
-                ticket=run.ticket,
-            ),
-            timeout_s=_ORDER_TIMEOUT_S,
+        order = StartOrder(
+            task=run.task.name,
+            run=run.number,
+            payload=job_of(run.task).request.payload,
+            expires_ms=expires_ms,
+            fence=self.context.fence,
+            checkpoint=run.task.checkpoint,
+            ticket=run.ticket,
+        )
+        return await _call_isolated(
+            partial(
+                self.context.worker_client.start,
+                self.address,
+                order,
+                timeout_s=_ORDER_TIMEOUT_S,
+            )
         )
 
     async def _send_stop(self, order: StopOrder) -> OrderAnswer:
         if not self.owner.may_extend_leases():
             await trio.lowlevel.checkpoint()
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        return await self.context.worker_client.stop(
-            self.address, order, timeout_s=_ORDER_TIMEOUT_S
+        return await _call_isolated(
+            partial(
+                self.context.worker_client.stop,
+                self.address,
+                order,
+                timeout_s=_ORDER_TIMEOUT_S,
+            )
         )
 
     async def _handle_refusal(self, run: Run, outcome: OrderOutcome) -> None:
@@ -191,3 +203,18 @@
         if answer.clock_ms is None:
             return now_s
         return self.clock.time_of(answer.clock_ms, sent_s=sent_s, now_s=now_s)
+
+
+async def _call_isolated(
+    call: Callable[[], Awaitable[OrderAnswer]],
+) -> OrderAnswer:
+    """Send an order; after an unexpected error, it may have been carried out.
+
+    Without an outcome, the run of the order would never end.
+    """
+    try:
+        return await call()
+    except Exception:
+        log_unexpected('order')
+        await trio.lowlevel.checkpoint()
+        return OrderAnswer(OrderOutcome.UNKNOWN)
--- a/tests/cells/test_malformed_records.py
+++ b/tests/cells/test_malformed_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from unittest import TestCase, mock
 
 import trio
@@ -38,6 +39,23 @@
     )
 
 
+class _FailingOrder:
+    """Fails in an unexpected way, before or after the order is carried out."""
+
+    def __init__(self, start: Any, *, is_carried_out: bool) -> None:
+        """Wrap the method that sends a start order."""
+        self.has_failed = False
+        self._start = start
+        self._is_carried_out = is_carried_out
+
+    async def __call__(self, *order: Any, **options: Any) -> None:
+        """Raise an error."""
+        self.has_failed = True
+        if self._is_carried_out:
+            await self._start(*order, **options)
+        raise ValueError('file descriptor')
+
+
 class MalformedRecordTests(TestCase):
     """Guards against one bad value that stops a process or a cell."""
 
@@ -57,6 +75,13 @@
         """Guards against a report that ends the ownership of the cell."""
         run_with_clock(self._report)
 
+    def test_order(self) -> None:
+        """Guards against a task that never runs after an error in its order.
+
+        The worker may have carried the order out.
+        """
+        run_with_clock(self._order)
+
     def test_owner_records(self) -> None:
         """Guards against a bad owner record that hides the others."""
         trio.run(self._owner_records)
@@ -110,6 +135,22 @@
             await _wait_done(cluster, 'bb')
             self.assertEqual(1, candidate.tenures_count)
 
+    async def _order(self) -> None:
+        for is_carried_out in (False, True):
+            await self._failing_order(is_carried_out=is_carried_out)
+
+    async def _failing_order(self, *, is_carried_out: bool) -> None:
+        async with open_cluster() as (cluster, nursery):
+            cluster.spawn(nursery, 'e1')
+            start = cluster.worker_client.start
+            failing = _FailingOrder(start, is_carried_out=is_carried_out)
+            with mock.patch.object(cluster.worker_client, 'start', failing):
+                request = job_request('aa', payload='ms=3000')
+                await cluster.submit(request)
+                await cluster.wait_until(lambda: failing.has_failed)
+            await cluster.wait_until_done(request)
+            cluster.check_single_runs()
+
     async def _owner_records(self) -> None:
         view = OwnerView()
         good = encode(EntryRecord('e1', '10.0.0.1', 7, 'secret'))
