Refuse connections in the soak, and close idle ones one at a time

'link refuses' resets the connections of a link and refuses new ones for a while; every other caller gives up after five attempts, so that some see refusals only.

Submissions with an interval of 0 are accepted again, since the number of open tasks is limited anyway.

--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -179,8 +179,10 @@
         return await self._open(address)
 
     async def _close_idle(self, address: Address) -> None:
-        for connection in self._idle_connections.pop(address, ()):
-            await trio.aclose_forcefully(connection.stream)
+        idle = self._idle_connections.get(address, [])
+        while idle:
+            # Removed first, since another request may take one meanwhile.
+            await trio.aclose_forcefully(idle.pop().stream)
 
     async def _open(self, address: Address) -> _Connection:
         try:
--- a/src/marjoramwharf/platform/job_bodies.py
+++ b/src/marjoramwharf/platform/job_bodies.py
@@ -83,8 +83,7 @@
 ) -> JobRequest:
     """Decode the body of a submission; raises ``BadJob``.
 
-    A step's ``After`` may only name steps that are listed before it, and a job
-    that repeats needs an interval.
+    A step's ``After`` may only name steps that are listed before it.
     """
     try:
         job = decode_json(raw, _Job)
@@ -114,8 +113,6 @@
             )
     if sum(step.count for step in job.steps) > _MAX_TASKS_OF_JOB:
         raise BadJob(message=f'more than {_MAX_TASKS_OF_JOB} tasks')
-    if job.repeat_count > 1 and job.interval_ms < 1:
-        raise BadJob(message='a job that repeats needs an interval')
 
 
 def encode_state(state: PublicJobState) -> bytes:
--- a/tests/links/test_http.py
+++ b/tests/links/test_http.py
@@ -5,7 +5,8 @@
 import socket
 import unittest
 from collections.abc import AsyncIterator
-from contextlib import ExitStack, asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager, suppress
+from itertools import repeat
 
 import trio
 from trio.testing import wait_all_tasks_blocked
@@ -94,6 +95,13 @@
         """
         trio.run(self._unasked_response)
 
+    def test_many_connections_end(self) -> None:
+        """Guards against a request on a connection that is closed meanwhile.
+
+        All idle connections end while many requests look for one.
+        """
+        trio.run(self._many_connections_end)
+
     def test_drain(self) -> None:
         """Guards against a planned stop that aborts an active request."""
         trio.run(self._drain)
@@ -203,6 +211,27 @@
             answer = await client.request('POST', server.url, timeout_s=2)
             self.assertEqual(200, answer.status)
 
+    async def _many_connections_end(self) -> None:
+        client = HttpClient()
+
+        async def ask(url: str, after_steps: int = 0) -> None:
+            for _ in range(after_steps):
+                await trio.lowlevel.checkpoint()
+            with suppress(CallFailed):
+                await client.request('GET', url, timeout_s=2)
+
+        async def ask_at_once(url: str, *steps: int) -> None:
+            async with trio.open_nursery() as nursery:
+                for after_steps in steps:
+                    nursery.start_soon(ask, url, after_steps)
+
+        async with raw_server() as server:
+            for later in range(20):
+                await ask_at_once(server.url, *repeat(0, 12))
+                server.ends_all = True
+                await ask_at_once(server.url, 0, later)
+                server.ends_all = False
+
     async def _drain(self) -> None:
         client = HttpClient()
         answers: list[bytes] = []
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -18,7 +18,9 @@
 _RETRY_PAUSE_S = 0.2
 _WATCH_PAUSE_S = 0.4
 _CANCELLED_SHARE = 0.1
-_SUBMIT_ATTEMPTS_COUNT = 25
+
+# Every other caller gives up early, so that some get refusals only.
+_SUBMIT_ATTEMPTS_COUNTS = (25, 5)
 
 _REFUSED_STATUSES = frozenset((429, 503))
 _MISSING_STATUS = 410
@@ -49,21 +51,24 @@
         self.records.append(record)
         will_cancel = self.rng.random() < _CANCELLED_SHARE
         run_ms = self.rng.choice((50, 300, 1_500))
-        await self._submit(record, run_ms)
+        attempts_count = _SUBMIT_ATTEMPTS_COUNTS[number % 2]
+        await self._submit(record, run_ms, attempts_count)
         if not record.is_accepted:
             return
         if will_cancel:
             await self._cancel(record)
         await self._watch(record)
 
-    async def _submit(self, record: CallerRecord, run_ms: int) -> None:
+    async def _submit(
+        self, record: CallerRecord, run_ms: int, attempts_count: int
+    ) -> None:
         estimate = {'Cpu': 500, 'EstimateMs': run_ms}
         steps = [
             {'Count': _FIRST_STEP_TASKS, **estimate},
             {'Count': _SECOND_STEP_TASKS, 'After': [0], **estimate},
         ]
         body = json.dumps({'TaskSpec': f'ms={run_ms}', 'Steps': steps}).encode()
-        for _ in range(_SUBMIT_ATTEMPTS_COUNT):
+        for _ in range(attempts_count):
             status = await self._send('POST', record, body)
             if status is None or status not in _REFUSED_STATUSES:
                 record.was_refused = False
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -7,7 +7,7 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -36,14 +36,16 @@
     pause_s: float
 
 
-def make_plan(seed: int, duration_s: float) -> list[Fault]:
-    """Return the faults that begin within ``duration_s``."""
+def make_plan(
+    seed: int, duration_s: float, kinds: Sequence[str]
+) -> list[Fault]:
+    """Return the faults of some kinds that begin within ``duration_s``."""
     rng = random.Random(seed)
     plan: list[Fault] = []
     passed_s: float = 0
     while passed_s < duration_s:
         fault = Fault(
-            rng.choice(tuple(FAULTS)),
+            rng.choice(kinds),
             rng.randrange(ENTRIES_COUNT * WORKERS_COUNT),
             rng.choice(_DURATIONS_S),
             rng.choice(_PAUSES_S),
@@ -154,6 +156,10 @@
     await _link_of(fleet, fault).reset()
 
 
+async def _refuse_link(fleet: SoakFleet, fault: Fault) -> None:
+    await _link_of(fleet, fault).refuse(fault.duration_s)
+
+
 def _link_of(fleet: SoakFleet, fault: Fault) -> Link:
     return fleet.links[fault.target % len(fleet.links)]
 
@@ -176,4 +182,9 @@
     'link without answers': _link_fault(LinkMode.NO_ANSWERS),
     'link delayed': _link_fault(LinkMode.OPEN, delay_s=_DELAY_S),
     'link reset': _reset_link,
+    'link refuses': _refuse_link,
 }
+ALL_KINDS = tuple(FAULTS)
+
+# A seed stands for the same faults only together with the kinds to choose from.
+FIRST_KINDS = ALL_KINDS[:-1]
--- a/tools/soak/link.py
+++ b/tools/soak/link.py
@@ -1,4 +1,4 @@
-"""A TCP link on loopback that can be delayed, cut one way, silenced or reset."""
+"""A TCP link on loopback that can be delayed, cut, silenced, reset or refused."""
 
 from __future__ import annotations
 
@@ -58,11 +58,33 @@
     mode: LinkMode = LinkMode.OPEN
     delay_s: float = 0
     _streams: set[trio.SocketStream] = field(default_factory=set)
+    _accept_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    _refusals_count: int = 0
 
     async def serve(self) -> None:
-        """Accept connections until cancelled."""
-        listener = await open_listener(HOST, self.port)
-        await trio.serve_listeners(self._pass_connection, [listener])
+        """Accept connections until cancelled, but for those to refuse."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                listener = await open_listener(HOST, self.port)
+                self._accept_scope = trio.CancelScope()
+                with self._accept_scope:
+                    await trio.serve_listeners(
+                        self._pass_connection,
+                        [listener],
+                        handler_nursery=nursery,
+                    )
+                await listener.aclose()
+                while self._refusals_count:
+                    await trio.sleep(_HELD_PAUSE_S)
+
+    async def refuse(self, duration_s: float) -> None:
+        """Reset all connections, and refuse new ones for some seconds."""
+        self._refusals_count += 1
+        self._accept_scope.cancel()
+        await trio.lowlevel.checkpoint()
+        await self.reset()
+        await trio.sleep(duration_s)
+        self._refusals_count -= 1
 
     def heal(self) -> None:
         """Pass bytes on without a delay from now on."""
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -7,6 +7,7 @@
 import shutil
 import tempfile
 from collections import Counter
+from collections.abc import Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 
@@ -43,7 +44,10 @@
 
 
 async def run_soak(
-    seed: int, duration_s: float, logs: pathlib.Path
+    seed: int,
+    duration_s: float,
+    logs: pathlib.Path,
+    kinds: Sequence[str] = faults.ALL_KINDS,
 ) -> SoakReport:
     """Play a soak; keeps the logs below ``logs`` if a promise was broken."""
     report = SoakReport(seed)
@@ -53,7 +57,9 @@
         )
         fleet = SoakFleet(folder)
         fleet.start(stack)
-        await _play(fleet, report, duration_s)
+        await _play(
+            fleet, report, faults.make_plan(seed, duration_s, kinds), duration_s
+        )
         if report.violations:
             kept = logs / f'soak-{seed}'
             shutil.rmtree(kept, ignore_errors=True)
@@ -62,9 +68,11 @@
 
 
 async def _play(
-    fleet: SoakFleet, report: SoakReport, duration_s: float
+    fleet: SoakFleet,
+    report: SoakReport,
+    plan: list[faults.Fault],
+    duration_s: float,
 ) -> None:
-    plan = faults.make_plan(report.seed, duration_s)
     report.faults.update(fault.kind for fault in plan)
     callers = Callers(fleet, random.Random(report.seed))
     async with trio.open_nursery() as links:
