Take 'another worker answers' as proof only where the worker was reached

The answer counts only at an address where the worker has answered, or if it never has; otherwise the leases lapse first.

Before: test_listing_names_another_address fails (two runs at once). After: it passes.

--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -17,7 +17,11 @@
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
 from marjoramwharf.cells.report_processor import ReportProcessor
 from marjoramwharf.cells.worker_clock import WorkerClock
-from marjoramwharf.cells.worker_messages import HoldOrder, OrderOutcome
+from marjoramwharf.cells.worker_messages import (
+    HoldOrder,
+    OrderOutcome,
+    WorkerAddress,
+)
 from marjoramwharf.cells.worker_orders import WorkerOrders
 from marjoramwharf.isolation import run_isolated
 from marjoramwharf.logs import part_logger
@@ -60,6 +64,7 @@
     is_urgent: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reports: ReportProcessor = field(init=False)
+    _reached_address: WorkerAddress | None = None
 
     def __post_init__(self) -> None:
         """Create the parts that share the clock with this link."""
@@ -102,8 +107,9 @@
             return
         sent_s = boot_s()
         wait_ms = self._wait_ms()
+        address = self.orders.address
         report = await self.context.worker_client.hold(
-            self.orders.address,
+            address,
             HoldOrder(
                 fence=self.context.fence,
                 acknowledged_end=self._acknowledged_end(),
@@ -115,14 +121,17 @@
         self.polls_count += 1
         if report.outcome is OrderOutcome.ACCEPTED:
             self._reports.process(report, sent_s=sent_s, nursery=nursery)
-            self._record_reached()
+            self._record_reached(address)
             self.owner.on_polled(self.worker.worker_id)
             await self.acknowledgements.wait(timeout_s=_ACKNOWLEDGEMENT_WAIT_S)
         elif report.outcome is OrderOutcome.FENCED:
             self.owner.on_superseded()
             await trio.sleep(_UNREACHABLE_PAUSE_S)
         else:
-            self._record_unreachable(report.outcome)
+            self._record_unreachable(
+                report.outcome,
+                is_replaced=self._is_replaced(report.outcome, address),
+            )
             await trio.sleep(_UNREACHABLE_PAUSE_S)
 
     def _acknowledged_end(self) -> int:
@@ -153,12 +162,27 @@
             return _URGENT_WAIT_MS
         return _BUSY_WAIT_MS if self.worker.runs else _IDLE_WAIT_MS
 
-    def _record_reached(self) -> None:
+    def _record_reached(self, address: WorkerAddress) -> None:
         if not self.worker.is_reachable:
             _LOG.info('worker reached', worker=self.worker.worker_id)
         self.worker.is_reachable = True
+        self._reached_address = address
+
+    def _is_replaced(
+        self, outcome: OrderOutcome, address: WorkerAddress
+    ) -> bool:
+        """Whether another worker has taken the place of this one.
+
+        At an address where this worker has never answered, another one proves
+        nothing if it has answered elsewhere: the listing may be wrong.
+        """
+        known_address = self._reached_address
+        is_known = known_address is None or known_address == address
+        return is_known and outcome is OrderOutcome.OTHER_WORKER
 
-    def _record_unreachable(self, outcome: OrderOutcome) -> None:
+    def _record_unreachable(
+        self, outcome: OrderOutcome, *, is_replaced: bool = False
+    ) -> None:
         """Mark the worker lost; end its runs once none can be at work."""
         now_s = boot_s()
         if self.worker.is_reachable:
@@ -168,7 +192,6 @@
                 outcome=outcome.value,
             )
         self.worker.is_reachable = False
-        is_replaced = outcome is OrderOutcome.OTHER_WORKER
         if is_replaced or self.clock.has_lapsed(now_s=now_s):
             self._drop_runs()
 
--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -39,11 +39,13 @@
     ``starts_to_delay`` starts wait in ``delayed_orders`` for a test's call. The
     next ``stops_to_drop`` stops are not carried out and get no answer. The
     answers to the next holds take ``hold_answer_delays_s`` longer than usual.
+    Another worker listens at each of the ``foreign_hosts``.
     ``holds_count`` is the number of holds that were answered.
     """
 
     workers: dict[WorkerId, SimulatedWorker]
     unreachable: set[WorkerId] = field(default_factory=set)
+    foreign_hosts: set[str] = field(default_factory=set)
     start_answers_to_lose: int = 0
     starts_to_repeat: int = 0
     hold_answers_to_lose: int = 0
@@ -128,6 +130,9 @@
         timeout_s: float,
     ) -> HoldReport:
         """Extend leases; report at a run's end or after ``wait_ms``."""
+        if worker.host in self.foreign_hosts:
+            await trio.lowlevel.checkpoint()
+            return HoldReport(OrderOutcome.OTHER_WORKER)
         sent_s = trio.current_time()
         report = await self._wait_for_report(worker, order, timeout_s)
         if report.outcome is OrderOutcome.ACCEPTED and (
--- a/tests/cells/test_malformed_records.py
+++ b/tests/cells/test_malformed_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 from unittest import TestCase, mock
 
@@ -71,6 +72,13 @@
         """Guards against a listing that hides the other workers."""
         run_with_clock(self._listing)
 
+    def test_listing_names_another_address(self) -> None:
+        """Guards against a second run because another worker answers.
+
+        Somebody else has written the listing of a worker that runs on.
+        """
+        run_with_clock(self._listing_names_another_address)
+
     def test_report(self) -> None:
         """Guards against a report that ends the ownership of the cell."""
         run_with_clock(self._report)
@@ -123,6 +131,25 @@
                 await cluster.store.commit([], [Write('servers/w1', b'w1')])
                 await _wait_done(cluster, 'aa')
 
+    async def _listing_names_another_address(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            cluster.spawn(nursery, 'e1')
+            request = job_request('aa', payload='ms=60000')
+            await cluster.submit(request)
+            await cluster.wait_until(lambda: cluster.starts().total() == 1)
+            await trio.sleep(2)
+            holder = next(
+                name
+                for name, worker in cluster.workers.items()
+                if worker.running
+            )
+            cluster.worker_client.foreign_hosts.add('10.0.0.9')
+            cluster.listings[holder] = replace(
+                cluster.listings[holder], host='10.0.0.9'
+            )
+            await cluster.store.commit([], [Write(f'servers/{holder}', b'x')])
+            await cluster.wait_until(lambda: cluster.starts().total() == 2)
+
     async def _report(self) -> None:
         async with open_cluster() as (cluster, nursery):
             candidate = cluster.spawn(nursery, 'e1')
--- a/tests/links/raw_server.py
+++ b/tests/links/raw_server.py
@@ -26,6 +26,8 @@
     port: int
     is_silent: bool = False
     ends_all: bool = False
+    response: bytes = _RESPONSE
+    ends_after_response: bool = False
     silent_requests_count: int = 0
     requests_count: int = 0
     streams: list[trio.SocketStream] = field(default_factory=list)
@@ -50,7 +52,9 @@
                     other.socket.close()
             if self.ends_all or self._must_stay_silent():
                 return
-            await stream.send_all(_RESPONSE)
+            await stream.send_all(self.response)
+            if self.ends_after_response:
+                return
 
     def _must_stay_silent(self) -> bool:
         if self.silent_requests_count:
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -65,6 +65,20 @@
         """
         trio.run(self._order_is_cut_off)
 
+    def test_answer_is_cut_off(self) -> None:
+        """Guards against a refusal that is read from a part of an answer."""
+        trio.run(self._answer_is_cut_off)
+
+    async def _answer_is_cut_off(self) -> None:
+        async with raw_server() as server:
+            server.response = (
+                b'HTTP/1.1 409 Conflict\r\nContent-Length: 50\r\n\r\n{"Reason'
+            )
+            server.ends_after_response = True
+            worker = WorkerAddress(WorkerId('i-2'), '127.0.0.1', server.port)
+            answer = await self.worker_client.start(worker, _START, timeout_s=2)
+        self.assertIs(OrderOutcome.UNKNOWN, answer.outcome)
+
     async def _order_is_cut_off(self) -> None:
         async with scripted((200, {}), None, (503, {})) as script:
             for outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
