Send at most three orders to a worker at a time

Cause: a connection for each order that found none idle, and idle ones that were never closed.

Three orders at a time and one poll need four connections; expired idle ones are closed when a request to their address ends. Ruled out: a limit in the HTTP client itself, since a poll that waits for a free connection delays the leases.

--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 import trio
@@ -31,6 +31,7 @@
 _ORDER_TIMEOUT_S = 0.5
 _STOP_RETRY_PAUSE_S = 0.1
 _START_ATTEMPTS_COUNT = 4
+_CONCURRENT_ORDERS_COUNT = 3
 _UNHEALTHY_WORKER_PAUSE_S = 0.5
 _FULL_WORKER_PAUSE_S = 0.1
 
@@ -54,13 +55,18 @@
 class WorkerOrders:
     """Sends orders to one worker, each in a task of its own.
 
-    ``clock`` estimates the worker's clock and is shared with its link.
+    ``clock`` estimates the worker's clock and is shared with its link. Only a
+    few orders are on their way at a time, each on a connection: a worker keeps
+    those of an owner that lost power, and takes a limited number of them.
     """
 
     worker: Worker
     owner: LinkOwner
     context: LinkContext
     clock: WorkerClock
+    _slots: trio.Semaphore = field(
+        default_factory=lambda: trio.Semaphore(_CONCURRENT_ORDERS_COUNT)
+    )
 
     @property
     def address(self) -> WorkerAddress:
@@ -77,8 +83,12 @@
             return
         run.phase = RunPhase.ORDERED
         for _ in range(_START_ATTEMPTS_COUNT):
-            sent_s = boot_s()
-            answer = await self._send_start(run, sent_s)
+            async with self._slots:
+                # The run may have been stopped while the order waited.
+                if run.phase is not RunPhase.ORDERED:
+                    return
+                sent_s = boot_s()
+                answer = await self._send_start(run, sent_s)
             if run.phase is not RunPhase.ORDERED:
                 return
             if answer.outcome is not OrderOutcome.UNKNOWN:
@@ -125,11 +135,12 @@
         order = PaceOrder(
             run.task.name, run.number, percent, self.context.fence
         )
-        answer = await self.context.worker_client.pace(
-            self.address,
-            order,
-            timeout_s=_ORDER_TIMEOUT_S,
-        )
+        async with self._slots:
+            answer = await self.context.worker_client.pace(
+                self.address,
+                order,
+                timeout_s=_ORDER_TIMEOUT_S,
+            )
         if answer.outcome is not OrderOutcome.ACCEPTED:
             # The pace may not be in force. Full speed is assumed, so that the
             # next poll decides again.
@@ -166,17 +177,17 @@
         )
 
     async def _send_stop(self, order: StopOrder) -> OrderAnswer:
-        if not self.owner.may_extend_leases():
-            await trio.lowlevel.checkpoint()
-            return OrderAnswer(OrderOutcome.NOT_SENT)
-        return await _call_isolated(
-            partial(
-                self.context.worker_client.stop,
-                self.address,
-                order,
-                timeout_s=_ORDER_TIMEOUT_S,
+        async with self._slots:
+            if not self.owner.may_extend_leases():
+                return OrderAnswer(OrderOutcome.NOT_SENT)
+            return await _call_isolated(
+                partial(
+                    self.context.worker_client.stop,
+                    self.address,
+                    order,
+                    timeout_s=_ORDER_TIMEOUT_S,
+                )
             )
-        )
 
     async def _handle_refusal(self, run: Run, outcome: OrderOutcome) -> None:
         """Block the worker for a while, and end the run or stop it first."""
--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -199,11 +199,23 @@
         if connection.reader.is_reusable:
             connection.idle_since_s = trio.current_time()
             connection.responses_count += 1
-            self._idle_connections.setdefault(address, []).append(connection)
+            idle = self._idle_connections.setdefault(address, [])
+            idle.append(connection)
+            await _close_expired(idle)
         else:
             await trio.aclose_forcefully(connection.stream)
 
 
+async def _close_expired(idle: list[_Connection]) -> None:
+    """Close the connections that have been idle for too long to be reused.
+
+    The latest one is reused first, so those stay at the front of the list.
+    """
+    oldest_s = trio.current_time() - _MAX_IDLE_S
+    while idle and idle[0].idle_since_s < oldest_s:
+        await trio.aclose_forcefully(idle.pop(0).stream)
+
+
 def is_connection_refused(failure: CallFailed) -> bool:
     """Return whether no process listened at the address of a failed call."""
     cause = failure.__cause__
--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TypeVar
@@ -39,13 +41,17 @@
     ``starts_to_delay`` starts wait in ``delayed_orders`` for a test's call. The
     next ``stops_to_drop`` stops are not carried out and get no answer. The
     answers to the next holds take ``hold_answer_delays_s`` longer than usual.
-    Another worker listens at each of the ``foreign_hosts``.
+    Another worker listens at each of the ``foreign_hosts``. At most
+    ``most_orders_in_flight`` start and stop orders were on their way to any
+    worker at a time.
     ``holds_count`` is the number of holds that were answered.
     """
 
     workers: dict[WorkerId, SimulatedWorker]
     unreachable: set[WorkerId] = field(default_factory=set)
     foreign_hosts: set[str] = field(default_factory=set)
+    most_orders_in_flight: int = 0
+    orders_in_flight: Counter[WorkerId] = field(default_factory=Counter)
     start_answers_to_lose: int = 0
     starts_to_repeat: int = 0
     hold_answers_to_lose: int = 0
@@ -65,6 +71,12 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to start a run."""
+        with self._in_flight(worker.worker_id):
+            return await self._send_start(worker, order, timeout_s)
+
+    async def _send_start(
+        self, worker: WorkerAddress, order: StartOrder, timeout_s: float
+    ) -> OrderAnswer:
         carry_out = partial(self._start, worker.worker_id, order)
         if self.starts_to_delay:
             self.starts_to_delay -= 1
@@ -90,6 +102,12 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to stop a run."""
+        with self._in_flight(worker.worker_id):
+            return await self._send_stop(worker, order, timeout_s)
+
+    async def _send_stop(
+        self, worker: WorkerAddress, order: StopOrder, timeout_s: float
+    ) -> OrderAnswer:
         if self.stops_to_drop:
             self.stops_to_drop -= 1
             await trio.sleep(timeout_s)
@@ -164,6 +182,17 @@
                 return report
             await trio.sleep(_POLL_INTERVAL_S)
 
+    @contextmanager
+    def _in_flight(self, worker_id: WorkerId) -> Iterator[None]:
+        self.orders_in_flight[worker_id] += 1
+        self.most_orders_in_flight = max(
+            self.most_orders_in_flight, self.orders_in_flight[worker_id]
+        )
+        try:
+            yield
+        finally:
+            self.orders_in_flight[worker_id] -= 1
+
     def _start(self, worker_id: WorkerId, order: StartOrder) -> OrderAnswer:
         return self._worker(worker_id).start(order, trio.current_time())
 
--- /dev/null
+++ b/tests/cells/test_connection_use.py
@@ -0,0 +1,81 @@
+"""How many connections an owner needs to one worker."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+from trio.testing import MockClock
+
+from marjoramwharf.links.http_client import HttpClient
+from tests.cells.cluster import job_request, open_cluster, run_with_clock, step
+from tests.links.raw_server import raw_server
+
+# Connections that a worker takes, and owners that may lose power one after the
+# other while it keeps theirs. A poll needs a connection beside the orders.
+_WORKER_CONNECTIONS = 64
+_LOST_OWNERS = 8
+_MAX_ORDERS = _WORKER_CONNECTIONS // _LOST_OWNERS - 1
+
+_TASKS_COUNT = 60
+_IDLE_S = 9
+
+
+class ConnectionUseTests(unittest.TestCase):
+    """Guards against connections that use up those that a worker takes.
+
+    A worker keeps the connections of an owner that lost power, and refuses
+    those of its successors once they are too many.
+    """
+
+    def test_many_orders(self) -> None:
+        """Guards against a connection for each of many orders at a time."""
+        run_with_clock(self._many_orders)
+
+    def test_idle_connections(self) -> None:
+        """Guards against connections that stay open and are never used."""
+        trio.run(self._idle_connections, clock=_fast_clock())
+
+    async def _many_orders(self) -> None:
+        async with open_cluster(('w1',)) as (cluster, nursery):
+            cluster.spawn(nursery, 'e1')
+            small = step(_TASKS_COUNT, cpu_millicores=10, is_lasting=True)
+            request = job_request('aa', small, payload='ms=60000')
+            await cluster.submit(request)
+            await cluster.wait_until(
+                lambda: cluster.starts().total() == _TASKS_COUNT
+            )
+            await cluster.cancel(request.job_id)
+            await cluster.wait_until(
+                lambda: (
+                    not any(
+                        worker.running for worker in cluster.workers.values()
+                    )
+                )
+            )
+            self.assertLessEqual(
+                cluster.worker_client.most_orders_in_flight,
+                _MAX_ORDERS,
+            )
+
+    async def _idle_connections(self) -> None:
+        client = HttpClient()
+
+        async def ask(url: str) -> None:
+            await client.request('GET', url, timeout_s=60)
+
+        async with raw_server() as server:
+            async with trio.open_nursery() as nursery:
+                for _ in range(10):
+                    nursery.start_soon(ask, server.url)
+            self.assertEqual(10, server.open_count)
+            for _ in range(3):
+                await trio.sleep(_IDLE_S / 2)
+                await ask(server.url)
+            await trio.sleep(_IDLE_S / 2)
+            self.assertEqual(1, server.open_count)
+
+
+def _fast_clock() -> trio.abc.Clock:
+    """Return a clock on which waiting takes little real time."""
+    return MockClock(rate=20)
--- a/tests/links/raw_server.py
+++ b/tests/links/raw_server.py
@@ -30,6 +30,7 @@
     ends_after_response: bool = False
     silent_requests_count: int = 0
     requests_count: int = 0
+    open_count: int = 0
     streams: list[trio.SocketStream] = field(default_factory=list)
 
     @property
@@ -40,9 +41,11 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection; a request arrives in one piece."""
         self.streams.append(stream)
+        self.open_count += 1
         async with stream:
             with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
                 await self._answer_requests(stream)
+        self.open_count -= 1
 
     async def _answer_requests(self, stream: trio.SocketStream) -> None:
         while await stream.receive_some(65_536):
