--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -311,12 +311,15 @@
 ) -> list[Candidate]:
     """Return the candidates of the rack that a step runs in already.
 
-    Before its first start, that is the rack with the most free CPU.
+    Before its first start, that is the rack with the most free CPU on workers
+    that could run its tasks.
     """
     chosen = ''
     racks: dict[str, float] = {}
     for candidate in candidates:
         worker = candidate.worker
+        if not worker.could_ever_run(step.request):
+            continue
         free = worker.capacity.cpu_millicores - worker.reserved_millicores
         racks[worker.listing.rack] = racks.get(worker.listing.rack, 0) + free
         if worker.runs_count_of(step):
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -67,6 +67,18 @@
         """Start with an empty job table."""
         self.job_table = JobTable()
 
+    def test_one_rack_of_another_kind(self) -> None:
+        """Guards against a step that waits for a rack that can't run it."""
+        others = [
+            make_worker(f'o{number}', labels=('b', 'r2')) for number in range(2)
+        ]
+        suited = make_worker('w1', labels=('a', 'r1'))
+        job_table = JobTable()
+        step = make_step(2, needs_one_rack=True, required_label='a')
+        add_job(job_table, 'j', step)
+        runs = _plan(job_table, make_fleet(suited, *others))
+        self.assertEqual(['w1', 'w1'], [run.worker_id for run in runs])
+
     def test_resources(self) -> None:
         """Guards against more runs than the resources of a worker allow."""
         fleet = make_fleet(
