Don't take a long run for hung between two reported percent

A run gets the time of four percent now, by its estimate and its progress; tasks of up to 40 s keep the 1.6 s. Before: test_long_run finds both runs hung; after: neither, until they have stood still for much longer.

--- a/src/marjoramwharf/scheduling/run_moves.py
+++ b/src/marjoramwharf/scheduling/run_moves.py
@@ -18,9 +18,11 @@
 _MS_PER_S = 1_000
 
 # A run without progress for this long counts as hung; a lasting one gets more
-# time, since it starts up first.
+# time, since it starts up first. Progress is reported in whole percent, so a
+# long task gets the time of a few of them, by an estimate that may be far off.
 _HUNG_S = 1.6
 _HUNG_START_S = 4.0
+_HUNG_PERCENT = 4
 
 # A run counts as slow if its progress rate is below this share of the median of
 # its step, at least this many rates are known, it would still take this long,
@@ -108,7 +110,17 @@
     stalled_s = reported_s - max(run.progressed_s, run.pace_changed_s)
     if run.step.is_lasting:
         return stalled_s > _HUNG_START_S
-    return stalled_s > _HUNG_S
+    return stalled_s > max(_HUNG_S, _HUNG_PERCENT * _percent_s(run))
+
+
+def _percent_s(run: Run) -> float:
+    """Return how long a percent takes, by the estimate and by the progress."""
+    estimated_s = run.step.estimate_ms / _MS_PER_S / _FULL_PERCENT
+    done_percent = run.percent - run.resumed_percent
+    if run.started_s is None or done_percent <= 0:
+        return estimated_s
+    shown_s = (run.progressed_s - run.started_s) / done_percent
+    return max(estimated_s, shown_s)
 
 
 def _is_slow(run: Run, reported_s: float) -> bool:
--- a/tests/scheduling/test_pacing.py
+++ b/tests/scheduling/test_pacing.py
@@ -170,6 +170,20 @@
         slow.percent = 80
         self.assertFalse(self._moves(10))
 
+    def test_long_run(self) -> None:
+        """Guards against a sound run that is stopped for its slow percent.
+
+        Progress is reported in whole percent, each of which takes 3 s here.
+        """
+        by_estimate = self._start(
+            make_step(estimate_ms=300_000), percent=0, now_s=8
+        )
+        by_progress = self._start(make_step(), percent=3, now_s=1)
+        self.worker.reported_at_s = 15
+        self.assertFalse(self._moves(15))
+        self.worker.reported_at_s = 25
+        self.assertEqual({by_estimate, by_progress}, set(self._moves(25)))
+
     def test_leaving_worker(self) -> None:
         """Guards against runs that are lost with their worker."""
         lasting = self._start(make_step(is_lasting=True), percent=100, now_s=0)
