Start a restored occurrence once it is due by the new owner's clock

Its due time is checked in each pass now. Before: test_clock_of_a_successor_is_behind finds no ready task; after: it is ready when due.

--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -39,13 +39,15 @@
 
     ``ready`` keeps the order in which tasks became ready. A planned run and
     the end of a job are urgent to store, since an order or a caller waits for
-    them. ``_repeating`` holds the jobs with occurrences still to be created.
+    them. ``_repeating`` holds the jobs with occurrences still to be created, and
+    ``_early`` those restored before they are due by this entry's clock.
     """
 
     jobs: dict[JobId, Job] = field(default_factory=dict)
     ready: dict[TaskId, Task] = field(default_factory=dict)
     unstored: dict[JobId, Job] = field(default_factory=dict)
     _repeating: dict[JobId, Job] = field(default_factory=dict)
+    _early: list[Occurrence] = field(default_factory=list)
 
     def add(self, request: JobRequest, *, now_s: float, now_ms: int) -> Job:
         """Add a job, or return the present one of the same id."""
@@ -70,10 +72,23 @@
             self._repeating[job.job_id] = job
         for occurrence in job.occurrences.values():
             occurrence.is_due = now_ms + _EARLY_START_MS >= occurrence.due_ms
+            if not occurrence.is_due:
+                self._early.append(occurrence)
             self._update_ready(occurrence, now_s)
 
     def create_due_occurrences(self, *, now_s: float, now_ms: int) -> None:
-        """Create the occurrences of repeating jobs that are due by now."""
+        """Create the occurrences of repeating jobs that are due by now.
+
+        Those that a former owner created may become due later by this clock.
+        """
+        early = self._early
+        self._early = []
+        for occurrence in early:
+            occurrence.is_due = now_ms + _EARLY_START_MS >= occurrence.due_ms
+            if not occurrence.is_due:
+                self._early.append(occurrence)
+            elif occurrence.job.is_open:
+                self._update_ready(occurrence, now_s)
         for job in tuple(self._repeating.values()):
             self._create_due(job, now_s, now_ms)
 
--- a/tests/scheduling/test_job_table.py
+++ b/tests/scheduling/test_job_table.py
@@ -79,6 +79,31 @@
         self.job_table.create_due_occurrences(now_s=1, now_ms=10**9)
         self.assertEqual([1, 2, 3, 4], list(job.occurrences))
 
+    def test_clock_of_a_successor_is_behind(self) -> None:
+        """Guards against an occurrence that a new owner never starts.
+
+        The former owner's clock showed that it was due.
+        """
+        request = JobRequest(
+            job_id=JobId('j'),
+            queue='q',
+            service='s',
+            payload='',
+            steps=(make_step(),),
+            accepted_at_ms=0,
+            repeat_count=1,
+            first_due_ms=5_000,
+            interval_ms=1,
+        )
+        former = JobTable().add(request, now_s=0, now_ms=5_000)
+        progress = build_progress_record(former)
+        restored = restore_job(request, progress, revision=1, now_s=0)
+        self.job_table.add_restored(restored, now_s=0, now_ms=4_000)
+        self.job_table.create_due_occurrences(now_s=0.5, now_ms=4_500)
+        self.assertFalse(self.job_table.ready)
+        self.job_table.create_due_occurrences(now_s=1, now_ms=5_000)
+        self.assertEqual(['j.0.0.0'], list(self.job_table.ready))
+
     def test_stage_times(self) -> None:
         """Guards against time of a late job that counts for a wrong stage."""
         job = add_job(self.job_table, 'j', make_step(2), make_step(after=(0,)))
