--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -280,7 +280,9 @@
             await self._release_lease(tenure)
 
     async def _release_lease(self, tenure: Tenure) -> None:
-        self.view.owners.pop(self.cell, None)
+        owner = self.view.owners.get(self.cell)
+        if owner is not None and owner.revision == tenure.revision:
+            self.view.owners.pop(self.cell)
         with trio.move_on_after(_RETRY_PAUSE_S):
             try:
                 await self.store.revoke_lease(tenure.lease)
--- a/tests/cells/test_outdated_owner.py
+++ b/tests/cells/test_outdated_owner.py
@@ -38,6 +38,10 @@
         """Guards against "running" for a job that another owner has ended."""
         run_with_clock(self._former_owner_wakes)
 
+    def test_former_owner_knows_its_successor(self) -> None:
+        """Guards against a former owner that tries to acquire a taken cell."""
+        run_with_clock(self._former_owner_knows_its_successor)
+
     def test_answer_to_a_peer(self) -> None:
         """Guards against a peer that takes an outdated state for certain."""
         run_with_clock(self._answer_to_a_peer)
@@ -63,6 +67,19 @@
                 self.assertIs(PublicJobState.RUNNING, answer.state)
                 self.assertTrue(answer.may_be_outdated)
 
+    async def _former_owner_knows_its_successor(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            request = job_request('aa', payload='ms=100')
+            former = await self._freeze_owner(
+                cluster, nursery, request, until=PublicJobState.DONE
+            )
+            cluster.spawn(nursery, 'e2')
+            await trio.sleep(_FREEZE_S + 2)
+            before = cluster.store.commits_count
+            await trio.sleep(5)
+            self.assertEqual(0, cluster.store.commits_count - before)
+            self.assertEqual(1, former.tenures_count)
+
     async def _answer_to_a_peer(self) -> None:
         async with open_cluster(('w1',)) as (cluster, nursery):
             request = job_request('aa', payload='ms=60000')
@@ -74,16 +91,18 @@
             )
 
     async def _freeze_owner(
-        self, cluster: Cluster, nursery: trio.Nursery, request: JobRequest
+        self,
+        cluster: Cluster,
+        nursery: trio.Nursery,
+        request: JobRequest,
+        *,
+        until: PublicJobState = PublicJobState.RUNNING,
     ) -> Candidate:
         """Start a job at a first owner, which stands still from then on."""
         first = cluster.spawn(nursery, 'e1')
         await cluster.submit(request)
         await cluster.wait_until(
-            lambda: (
-                self._state_at(cluster, 0, request.job_id)
-                is PublicJobState.RUNNING
-            )
+            lambda: self._state_at(cluster, 0, request.job_id) is until
         )
         first.gate.freeze(_FREEZE_S)
         return first
