--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -25,7 +25,9 @@
 from marjoramwharf.cells.worker_messages import (
     HoldReport,
     OrderAnswer,
+    OrderOutcome,
     StopOrder,
+    WorkerAddress,
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
 from marjoramwharf.links.store import Guard
@@ -98,6 +100,22 @@
         self.owner.end_run(run, RunEnd.VANISHED, '')
 
 
+def _is_any_other_worker(
+    _self: WorkerLink, outcome: OrderOutcome, _address: WorkerAddress
+) -> bool:
+    return outcome is OrderOutcome.OTHER_WORKER
+
+
+async def _start_for_sure(
+    self: WorkerOrders, run: Run, now_s: float
+) -> OrderAnswer:
+    """Take an order without an outcome for one that was never sent."""
+    answer = await _send_start(self, run, now_s)
+    if answer.outcome is OrderOutcome.UNKNOWN:
+        return OrderAnswer(OrderOutcome.NOT_SENT)
+    return answer
+
+
 def _always(*_args: object, **_named: object) -> bool:
     return True
 
@@ -137,6 +155,15 @@
     'progress is written only by the owner': lambda: patch.object(
         ProgressWriter, 'run', _write_unguarded
     ),
+    'another worker proves something where the worker was': lambda: (
+        patch.object(WorkerLink, '_is_replaced', _is_any_other_worker)
+    ),
+    'an order without an answer may be carried out': lambda: patch.object(
+        WorkerOrders, '_send_start', _start_for_sure
+    ),
+    'orders to a worker take turns': lambda: patch(
+        f'{WorkerOrders.__module__}._CONCURRENT_ORDERS_COUNT', _LONG_S
+    ),
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -16,11 +16,23 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import redirect_stdout
 
-from tests.cells import test_cell, test_histories, test_late_answers
+from tests.cells import (
+    test_cell,
+    test_connection_use,
+    test_histories,
+    test_late_answers,
+    test_malformed_records,
+)
 from tests.cells.mutants import MUTANTS
 
 # The random histories are last, since they take longest.
-_TEST_MODULES = (test_cell, test_late_answers, test_histories)
+_TEST_MODULES = (
+    test_cell,
+    test_late_answers,
+    test_malformed_records,
+    test_connection_use,
+    test_histories,
+)
 
 _CONCURRENT_PROCESSES_COUNT = 2
 _SINGLE_OPTION = '--single'
