--- a/src/marjoramwharf/cells/advice.py
+++ b/src/marjoramwharf/cells/advice.py
@@ -3,8 +3,9 @@
 Queues with an advice policy start a task only on a worker for which the
 service has issued a ticket. The service handles one call at a time for each
 caller, so steps are queried one after the other, and each call names only some
-of the workers. Steps without success come after all others, so that one that no
-worker may run doesn't keep the others waiting.
+of the workers. The step that has needed tickets for the longest time goes first,
+and an attempt ends its turn, so that a step that no worker may run doesn't keep
+the others waiting.
 """
 
 from __future__ import annotations
@@ -36,7 +37,7 @@
 # has to reach the worker before the ticket expires.
 _USABLE_VALIDITY_SHARE = 0.7
 
-
+# The id of a worker and the time of its start in ms.
 _WorkerLife = tuple[WorkerId, int]
 
 
@@ -79,9 +80,9 @@
     failures_count: int = 0
     next_attempt_s: float = 0
 
-    def needs_tickets(self, now_s: float) -> bool:
-        """Whether an attempt to get tickets is due."""
-        return self.usable_until_s <= now_s and self.next_attempt_s <= now_s
+    def needed_at_s(self, ready_since_s: float) -> float:
+        """Return the time from which the step, once ready, needs tickets."""
+        return max(ready_since_s, self.usable_until_s, self.next_attempt_s)
 
     def record_failure(self, now_s: float, *, pause_s: float) -> None:
         """Record an attempt without a ticket, and when to try again."""
@@ -89,7 +90,12 @@
         self.next_attempt_s = now_s + pause_s
 
     def record_answer(
-        self, workers: Sequence[Worker], advice: Advice, asked_s: float
+        self,
+        workers: Sequence[Worker],
+        advice: Advice,
+        *,
+        asked_s: float,
+        now_s: float,
     ) -> None:
         """Keep the tickets and the refusals of an answer."""
         self.tickets = advice.tickets
@@ -99,10 +105,11 @@
             if worker.worker_id not in advice.tickets
         )
         if not advice.tickets:
-            self.record_failure(asked_s, pause_s=0)
+            self.record_failure(now_s, pause_s=0)
             return
         valid_s = advice.valid_ms / _MS_PER_S
         self.usable_until_s = asked_s + valid_s * _USABLE_VALIDITY_SHARE
+        self.next_attempt_s = now_s
         self.failures_count = 0
 
 
@@ -151,27 +158,24 @@
         return queue_of(task, configuration.queues).advice
 
     def _next_task_without_tickets(self, now_s: float) -> Task | None:
-        """Return a ready task whose step is due for a request, if any.
-
-        The step with the fewest attempts in vain goes first, and among equal
-        ones the one that became ready first.
-        """
+        """Return the task whose step has needed tickets longest, if any."""
         first_tasks: dict[int, Task] = {}
         for ready in self.job_table.ready.values():
             first_tasks.setdefault(id(ready.step), ready)
         for step_id in self._tickets_by_step.keys() - first_tasks.keys():
             self._tickets_by_step.pop(step_id)
-        due = [
+        with_policy = [
             task
             for task in first_tasks.values()
             if self._advice_policy(task) is not None
-            and self._tickets_of(task).needs_tickets(now_s)
         ]
-        return min(
-            due,
-            key=lambda task: self._tickets_of(task).failures_count,
-            default=None,
-        )
+        first = min(with_policy, key=self._needed_at_s, default=None)
+        if first is None or self._needed_at_s(first) > now_s:
+            return None
+        return first
+
+    def _needed_at_s(self, task: Task) -> float:
+        return self._tickets_of(task).needed_at_s(task.ready_since_s)
 
     def _tickets_of(self, task: Task) -> _StepTickets:
         return self._tickets_by_step.setdefault(id(task.step), _StepTickets())
@@ -198,7 +202,9 @@
                 boot_s(), pause_s=_retry_pause_s(step_tickets.failures_count)
             )
             return
-        step_tickets.record_answer(workers, advice, now_s)
+        step_tickets.record_answer(
+            workers, advice, asked_s=now_s, now_s=boot_s()
+        )
         _LOG.info(
             'advice',
             step=task.name,
--- a/tests/cells/test_advice.py
+++ b/tests/cells/test_advice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -41,6 +42,7 @@
     hopeless: set[str] = field(default_factory=set)
     failing: set[str] = field(default_factory=set)
     asked: list[tuple[str, int]] = field(default_factory=list)
+    valid_ms: int = _VALID_MS
 
     async def advise(
         self,
@@ -56,7 +58,7 @@
         if job_id in self.failing:
             raise AdviceUnavailable(message='no answer')
         tickets = {} if job_id in self.hopeless else dict.fromkeys(workers, 't')
-        return Advice(tickets, _VALID_MS)
+        return Advice(tickets, self.valid_ms)
 
 
 @dataclass
@@ -118,6 +120,10 @@
         """Guards against later jobs that wait for a label nobody has."""
         run_with_clock(self._no_usable_worker)
 
+    def test_tickets_end_at_once(self) -> None:
+        """Guards against later jobs that wait for one with expired tickets."""
+        run_with_clock(self._tickets_end_at_once)
+
     def test_refusals_are_kept(self) -> None:
         """Guards against asking for the same workers again and again."""
         run_with_clock(self._refusals_are_kept)
@@ -152,6 +158,16 @@
             await trio.sleep(5 * _CALL_S)
             self.assertTrue(all(map(setup.has_tickets, later)))
 
+    async def _tickets_end_at_once(self) -> None:
+        async with _running_cache() as setup:
+            setup.service.valid_ms = 0
+            jobs = [setup.add_job(name) for name in ('a', 'b', 'c')]
+            await trio.sleep(_WAIT_S)
+            asked = Counter(job_id for job_id, _ in setup.service.asked)
+            self.assertLessEqual(
+                max(asked.values()) - min(asked[job.job_id] for job in jobs), 1
+            )
+
     async def _refusals_are_kept(self) -> None:
         async with _running_cache(workers_count=50) as setup:
             job = setup.add_job('bad')
