--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -32,6 +33,7 @@
 _STOP_RETRY_PAUSE_S = 0.1
 _START_ATTEMPTS_COUNT = 4
 _CONCURRENT_ORDERS_COUNT = 3
+_TURN_TIMEOUT_S = 1.0
 _UNHEALTHY_WORKER_PAUSE_S = 0.5
 _FULL_WORKER_PAUSE_S = 0.1
 
@@ -51,6 +53,14 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class _StartAttempt:
+    """The answer to a start order that was sent at ``sent_s``."""
+
+    answer: OrderAnswer
+    sent_s: float
+
+
 @dataclass(slots=True, eq=False)
 class WorkerOrders:
     """Sends orders to one worker, each in a task of its own.
@@ -83,21 +93,17 @@
             return
         run.phase = RunPhase.ORDERED
         for _ in range(_START_ATTEMPTS_COUNT):
-            async with self._slots:
-                # The run may have been stopped while the order waited.
-                if run.phase is not RunPhase.ORDERED:
-                    return
-                sent_s = boot_s()
-                answer = await self._send_start(run, sent_s)
+            attempt = await self._attempt_start(run)
             if run.phase is not RunPhase.ORDERED:
                 return
+            answer = attempt.answer
             if answer.outcome is not OrderOutcome.UNKNOWN:
                 break
             run.is_start_unconfirmed = True
         self.context.counters.starts[answer.outcome] += 1
         if answer.outcome in _STARTED_OUTCOMES:
             self.owner.on_run_started(
-                run, started_s=self._answered_s(answer, sent_s)
+                run, started_s=self._answered_s(answer, attempt.sent_s)
             )
         elif answer.outcome is OrderOutcome.FENCED:
             self.owner.on_superseded()
@@ -146,6 +152,24 @@
             # next poll decides again.
             run.pace_percent = 100
 
+    async def _attempt_start(self, run: Run) -> _StartAttempt:
+        """Send the start order of a run once it is the run's turn.
+
+        The orders before it may wait for a worker that doesn't answer. An order
+        whose turn doesn't come soon isn't sent, so that its task can be placed
+        on another worker.
+        """
+        attempt = _StartAttempt(OrderAnswer(OrderOutcome.NOT_SENT), boot_s())
+        with trio.move_on_after(_TURN_TIMEOUT_S) as turn:
+            async with self._slots:
+                turn.deadline = math.inf
+                # The run may have been stopped while the order waited.
+                if run.phase is RunPhase.ORDERED:
+                    sent_s = boot_s()
+                    answer = await self._send_start(run, sent_s)
+                    attempt = _StartAttempt(answer, sent_s)
+        return attempt
+
     async def _send_start(self, run: Run, now_s: float) -> OrderAnswer:
         """Send the order, with a lease that ends at a known time.
 
--- a/tests/cells/test_connection_use.py
+++ b/tests/cells/test_connection_use.py
@@ -7,8 +7,15 @@
 import trio
 from trio.testing import MockClock
 
+from marjoramwharf.ids import WorkerId
 from marjoramwharf.links.http_client import HttpClient
-from tests.cells.cluster import job_request, open_cluster, run_with_clock, step
+from tests.cells.cluster import (
+    Candidate,
+    job_request,
+    open_cluster,
+    run_with_clock,
+    step,
+)
 from tests.links.raw_server import raw_server
 
 # Connections that a worker takes, and owners that may lose power one after the
@@ -19,6 +26,8 @@
 
 _TASKS_COUNT = 60
 _IDLE_S = 9
+_PLANNED_S = 0.2
+_GIVE_UP_S = 2.5
 
 
 class ConnectionUseTests(unittest.TestCase):
@@ -32,6 +41,10 @@
         """Guards against a connection for each of many orders at a time."""
         run_with_clock(self._many_orders)
 
+    def test_worker_does_not_answer(self) -> None:
+        """Guards against tasks that wait behind orders without an answer."""
+        run_with_clock(self._worker_does_not_answer)
+
     def test_idle_connections(self) -> None:
         """Guards against connections that stay open and are never used."""
         trio.run(self._idle_connections, clock=_fast_clock())
@@ -58,6 +71,21 @@
                 _MAX_ORDERS,
             )
 
+    async def _worker_does_not_answer(self) -> None:
+        async with open_cluster(('w1',)) as (cluster, nursery):
+            candidate = cluster.spawn(nursery, 'e1')
+            await cluster.wait_until(lambda: _is_reached(candidate))
+            cluster.worker_client.unreachable.add(WorkerId('w1'))
+            small = step(_TASKS_COUNT, cpu_millicores=10)
+            request = job_request('aa', small)
+            await cluster.submit(request)
+            await trio.sleep(_PLANNED_S)
+            await cluster.add_worker('w2')
+            # The orders on their way take two seconds, the others give up.
+            await trio.sleep(_GIVE_UP_S)
+            started_count = len(cluster.workers[WorkerId('w2')].starts)
+            self.assertGreaterEqual(started_count, _TASKS_COUNT - 6)
+
     async def _idle_connections(self) -> None:
         client = HttpClient()
 
@@ -76,6 +104,15 @@
             self.assertEqual(1, server.open_count)
 
 
+def _is_reached(candidate: Candidate) -> bool:
+    """Whether the owner has reached some worker."""
+    cell = candidate.cell
+    return cell is not None and any(
+        worker.is_reachable
+        for worker in cell.worker_registry.fleet.workers.values()
+    )
+
+
 def _fast_clock() -> trio.abc.Clock:
     """Return a clock on which waiting takes little real time."""
     return MockClock(rate=20)
