--- a/src/marjoramwharf/platform/kv_store.py
+++ b/src/marjoramwharf/platform/kv_store.py
@@ -192,7 +192,10 @@
 
     async def keep_alive(self, lease: LeaseId) -> bool:
         """Extend a lease and return whether it still exists."""
-        answer = await self._post(f'/kv-keep/{lease}', None)
+        # A repeated renewal tells all that the caller needs.
+        answer = await self._write(
+            'POST', f'/kv-keep/{lease}', b'{}', is_repeatable=True
+        )
         return _check_lease_answer(answer)
 
     async def revoke_lease(self, lease: LeaseId) -> None:
@@ -247,12 +250,16 @@
         _raise_if_not_applied(answer)
         return answer
 
-    async def _post(self, path: str, body: Struct | None) -> ClientResponse:
-        sent = b'{}' if body is None else json.encode(body)
-        return await self._write('POST', path, sent)
+    async def _post(self, path: str, body: Struct) -> ClientResponse:
+        return await self._write('POST', path, json.encode(body))
 
     async def _write(
-        self, method: str, path: str, body: bytes
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        *,
+        is_repeatable: bool = False,
     ) -> ClientResponse:
         try:
             answer = await self._client.request(
@@ -261,6 +268,7 @@
                 headers={'Content-Type': 'application/json'},
                 body=body,
                 timeout_s=self._timeout_s,
+                is_repeatable=is_repeatable,
             )
         except NotConnected as unsent:
             raise StoreUnavailable(message=str(unsent)) from unsent
--- a/tests/platform/test_kv_store.py
+++ b/tests/platform/test_kv_store.py
@@ -128,14 +128,17 @@
     async def _leases(self) -> None:
         async with scripted(
             (200, {'Lease': 77120, 'TtlMs': 3000}),
+            None,
             (200, {'TtlMs': 3000}),
             (404, {}),
         ) as script:
             store = _store(script)
             lease = await store.grant_lease(3_000)
             self.assertEqual({'TtlMs': 3000}, script.body(0))
+            # The kept connection ends; a renewal is sent again on a new one.
             self.assertTrue(await store.keep_alive(lease))
             self.assertEqual('/kv-keep/77120', script.requests[1].target)
+            self.assertEqual('/kv-keep/77120', script.requests[2].target)
             self.assertFalse(await store.keep_alive(lease))
 
     async def _failures(self) -> None:
