Check the right to send a pace once its turn has come, and take free slots at once

The check is made right before the call, as for starts and stops; a pace that isn't sent no longer counts as in force.

Before: test_right_ends_before_the_turn finds one pace sent; after: none.

--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -135,18 +135,9 @@
 
     async def pace(self, run: Run, percent: int) -> None:
         """Send a pace order once; it sets a share of the run's full speed."""
-        if not self.owner.may_extend_leases():
-            return
-        self.context.counters.pace_orders_count += 1
-        order = PaceOrder(
-            run.task.name, run.number, percent, self.context.fence
+        answer = await self._send_pace(
+            PaceOrder(run.task.name, run.number, percent, self.context.fence)
         )
-        async with self._slots:
-            answer = await self.context.worker_client.pace(
-                self.address,
-                order,
-                timeout_s=_ORDER_TIMEOUT_S,
-            )
         if answer.outcome is not OrderOutcome.ACCEPTED:
             # The pace may not be in force. Full speed is assumed, so that the
             # next poll decides again.
@@ -160,16 +151,33 @@
         on another worker.
         """
         attempt = _StartAttempt(OrderAnswer(OrderOutcome.NOT_SENT), boot_s())
-        with trio.move_on_after(_TURN_TIMEOUT_S) as turn:
-            async with self._slots:
-                turn.deadline = math.inf
-                # The run may have been stopped while the order waited.
-                if run.phase is RunPhase.ORDERED:
-                    sent_s = boot_s()
-                    answer = await self._send_start(run, sent_s)
-                    attempt = _StartAttempt(answer, sent_s)
+        if not await self._take_slot(_TURN_TIMEOUT_S):
+            return attempt
+        try:
+            # The run may have been stopped while the order waited.
+            if run.phase is RunPhase.ORDERED:
+                sent_s = boot_s()
+                answer = await self._send_start(run, sent_s)
+                attempt = _StartAttempt(answer, sent_s)
+        finally:
+            self._slots.release()
         return attempt
 
+    async def _take_slot(self, limit_s: float) -> bool:
+        """Take a slot for an order; return whether one got free in time.
+
+        A free one is taken without yielding, which would cost more than all
+        else here.
+        """
+        try:
+            self._slots.acquire_nowait()
+        except trio.WouldBlock:
+            with trio.move_on_after(limit_s):
+                await self._slots.acquire()
+                return True
+            return False
+        return True
+
     async def _send_start(self, run: Run, now_s: float) -> OrderAnswer:
         """Send the order, with a lease that ends at a known time.
 
@@ -200,8 +208,21 @@
             )
         )
 
+    async def _send_pace(self, order: PaceOrder) -> OrderAnswer:
+        await self._take_slot(math.inf)
+        try:
+            if not self.owner.may_extend_leases():
+                return OrderAnswer(OrderOutcome.NOT_SENT)
+            self.context.counters.pace_orders_count += 1
+            return await self.context.worker_client.pace(
+                self.address, order, timeout_s=_ORDER_TIMEOUT_S
+            )
+        finally:
+            self._slots.release()
+
     async def _send_stop(self, order: StopOrder) -> OrderAnswer:
-        async with self._slots:
+        await self._take_slot(math.inf)
+        try:
             if not self.owner.may_extend_leases():
                 return OrderAnswer(OrderOutcome.NOT_SENT)
             return await _call_isolated(
@@ -212,6 +233,8 @@
                     timeout_s=_ORDER_TIMEOUT_S,
                 )
             )
+        finally:
+            self._slots.release()
 
     async def _handle_refusal(self, run: Run, outcome: OrderOutcome) -> None:
         """Block the worker for a while, and end the run or stop it first."""
--- a/tests/cells/test_connection_use.py
+++ b/tests/cells/test_connection_use.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import Mock, patch
 
 import trio
 from trio.testing import MockClock
 
-from marjoramwharf.ids import WorkerId
+from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.cells.link_context import LinkContext
+from marjoramwharf.cells.worker_clock import WorkerClock
+from marjoramwharf.cells.worker_orders import WorkerOrders
+from marjoramwharf.ids import TaskId, WorkerId
 from marjoramwharf.links.http_client import HttpClient
+from marjoramwharf.scheduling.job_table import JobTable
+from standins.simulated_worker_client import MemoryWorkerClient
 from tests.cells.cluster import (
+    HOLD_MS,
     Candidate,
     job_request,
     open_cluster,
@@ -17,6 +25,13 @@
     step,
 )
 from tests.links.raw_server import raw_server
+from tests.scheduling.fixtures import (
+    add_job,
+    first_task,
+    make_step,
+    make_worker,
+    start_run,
+)
 
 # Connections that a worker takes, and owners that may lose power one after the
 # other while it keeps theirs. A poll needs a connection beside the orders.
@@ -45,6 +60,10 @@
         """Guards against tasks that wait behind orders without an answer."""
         run_with_clock(self._worker_does_not_answer)
 
+    def test_right_ends_before_the_turn(self) -> None:
+        """Guards against an order that waited and leaves without a right."""
+        run_with_clock(self._right_ends_before_the_turn)
+
     def test_idle_connections(self) -> None:
         """Guards against connections that stay open and are never used."""
         trio.run(self._idle_connections, clock=_fast_clock())
@@ -86,6 +105,28 @@
             started_count = len(cluster.workers[WorkerId('w2')].starts)
             self.assertGreaterEqual(started_count, _TASKS_COUNT - 6)
 
+    async def _right_ends_before_the_turn(self) -> None:
+        async with open_cluster(('w1',)) as (cluster, _):
+            client = cluster.worker_client
+            client.unreachable.add(WorkerId('w1'))
+            owner = Mock()
+            orders = WorkerOrders(
+                make_worker('w1'),
+                owner,
+                _context(client),
+                WorkerClock(),
+            )
+            job = add_job(JobTable(), 'a', make_step())
+            paced = start_run(JobTable(), first_task(job), orders.worker)
+            with patch.object(client, 'pace') as sent:
+                async with trio.open_nursery() as nursery:
+                    _send_stops(nursery, orders)
+                    await trio.sleep(0.1)
+                    nursery.start_soon(orders.pace, paced, 40)
+                    await trio.sleep(0.1)
+                    owner.may_extend_leases.return_value = False
+            sent.assert_not_called()
+
     async def _idle_connections(self) -> None:
         client = HttpClient()
 
@@ -104,6 +145,22 @@
             self.assertEqual(1, server.open_count)
 
 
+def _context(client: MemoryWorkerClient) -> LinkContext:
+    return LinkContext(
+        worker_client=client,
+        fence=1,
+        hold_ms=HOLD_MS,
+        max_hold_ms=HOLD_MS,
+        stop_ms=HOLD_MS,
+        counters=CellCounters(),
+    )
+
+
+def _send_stops(nursery: trio.Nursery, orders: WorkerOrders) -> None:
+    for number in range(_MAX_ORDERS):
+        nursery.start_soon(orders.stop_unknown, TaskId('b.0.0.0'), number)
+
+
 def _is_reached(candidate: Candidate) -> bool:
     """Whether the owner has reached some worker."""
     cell = candidate.cell
