Tell a caller 504 once an attempt to cancel got no answer

Callers could be told 503, which says "certainly not stored", for a cancellation that the store had applied: the first write got no answer and the repeat was refused. Cause: only the last attempt counted in Intake.cancel, unlike in _store_with_retries.

Change: an attempt without an answer is remembered; a later refusal then raises StoreAnswerLost, which callers see as 504. A cancellation of which every attempt was refused is still 503.

--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -129,8 +129,7 @@
             maybe_stored = maybe_stored or outcome is SubmissionOutcome.UNKNOWN
             if outcome is SubmissionOutcome.ACCEPTED or not maybe_stored:
                 return outcome
-            is_late = trio.current_time() + _RETRY_PAUSE_S >= deadline_s
-            if is_late or not self.is_store_reachable():
+            if self._must_give_up(deadline_s):
                 return SubmissionOutcome.UNKNOWN
             await trio.sleep(_RETRY_PAUSE_S)
 
@@ -173,15 +172,24 @@
     async def cancel(self, job_id: JobId, *, deadline_s: float) -> bool:
         """Store the cancellation of a job; return whether the job exists.
 
-        Raises ``StoreUnavailable`` or ``StoreAnswerLost`` when the deadline
-        has passed or the store can't be reached.
+        When the deadline has passed or the store can't be reached, raises
+        ``StoreUnavailable`` if certainly nothing was stored, and
+        ``StoreAnswerLost`` if any of the attempts may have been.
         """
+        maybe_stored = False
         while True:
             try:
                 return await self._cancel_once(job_id)
-            except (StoreUnavailable, StoreAnswerLost):
-                is_late = trio.current_time() + _RETRY_PAUSE_S >= deadline_s
-                if is_late or not self.is_store_reachable():
+            except StoreUnavailable as refusal:
+                if self._must_give_up(deadline_s):
+                    if not maybe_stored:
+                        raise
+                    raise StoreAnswerLost(
+                        message='an earlier attempt got no answer'
+                    ) from refusal
+            except StoreAnswerLost:
+                maybe_stored = True
+                if self._must_give_up(deadline_s):
                     raise
             await trio.sleep(_RETRY_PAUSE_S)
 
@@ -213,6 +221,11 @@
             return cell.job_table.waiting_count(queue)
         return await self.owner_link.waiting_count(queue)
 
+    def _must_give_up(self, deadline_s: float) -> bool:
+        """Whether another attempt would be too late or in vain."""
+        is_late = trio.current_time() + _RETRY_PAUSE_S >= deadline_s
+        return is_late or not self.is_store_reachable()
+
     def _log_accepted(
         self, request: JobRequest, outcome: Committed | Conflict
     ) -> None:
--- a/tests/platform/test_unanswered_writes.py
+++ b/tests/platform/test_unanswered_writes.py
@@ -14,8 +14,14 @@
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.records import owner_key
 from marjoramwharf.cells.submission_outcome import SubmissionOutcome
-from marjoramwharf.errors import BadFrame, StoreAnswerLost
-from marjoramwharf.ids import DataCentreId, EntryId, Incarnation, LeaseId
+from marjoramwharf.errors import BadFrame, StoreAnswerLost, StoreUnavailable
+from marjoramwharf.ids import (
+    DataCentreId,
+    EntryId,
+    Incarnation,
+    JobId,
+    LeaseId,
+)
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.links.http_server import HttpRequest
 from marjoramwharf.links.peer_messages import PeerIdentity
@@ -34,6 +40,17 @@
 _BUSY: tuple[int, dict[str, str]] = (503, {})
 _MISSING: tuple[int, dict[str, str]] = (404, {})
 _BODY = b'{"TaskSpec":"t","Steps":[{"Count":1,"Cpu":500}]}'
+_JOB_ID = JobId('5c0e7a21d94b36f8')
+_STORED: tuple[int, dict[str, object]] = (
+    200,
+    {
+        'Key': 'mw/0/in/job/5c0e7a21d94b36f8',
+        'Value': '',
+        'Revision': 3,
+        'Created': 3,
+        'Lease': 0,
+    },
+)
 _OWNER_RECORD = [Write(owner_key(CELL), b'e1')]
 
 
@@ -50,6 +67,11 @@
     return await _intake(store).submit(job_request('a'), deadline_s=deadline_s)
 
 
+async def _cancel(store: KvStore) -> bool:
+    deadline_s = trio.current_time() + _DEADLINE_S
+    return await _intake(store).cancel(_JOB_ID, deadline_s=deadline_s)
+
+
 class _VagueStore(PollingMemoryStore):
     """Applies commits and answers the next few with something unreadable."""
 
@@ -110,6 +132,17 @@
         """Guards against a failure that is taken for a proof of no write."""
         run_with_clock(self._unexpected_failure)
 
+    def test_cancellation_cut_off_and_refused(self) -> None:
+        """Guards against "not stored" for a cancellation that may be.
+
+        The store cuts the connection of the write and refuses the repeats.
+        """
+        trio.run(self._cancellation_cut_off_and_refused)
+
+    def test_refused_cancellation(self) -> None:
+        """Guards against "unknown" for a cancellation that never was."""
+        trio.run(self._refused_cancellation)
+
     def test_progress_is_recognised(self) -> None:
         """Guards against an owner that takes its own write for another's."""
         run_with_clock(self._progress_is_recognised)
@@ -133,6 +166,18 @@
             await store.read('x')
             self.assertIs(SubmissionOutcome.UNKNOWN, await _submit(store))
 
+    async def _cancellation_cut_off_and_refused(self) -> None:
+        async with scripted(_STORED, None, *repeat(_BUSY, 50)) as script:
+            store = KvStore(HttpClient(), script.address, timeout_s=_TIMEOUT_S)
+            with self.assertRaises(StoreAnswerLost):
+                await _cancel(store)
+
+    async def _refused_cancellation(self) -> None:
+        async with scripted(_STORED, *repeat(_BUSY, 50)) as script:
+            store = KvStore(HttpClient(), script.address, timeout_s=_TIMEOUT_S)
+            with self.assertRaises(StoreUnavailable):
+                await _cancel(store)
+
     async def _unreadable_conflict(self) -> None:
         async with scripted(*repeat((412, []), 50)) as script:
             store = KvStore(HttpClient(), script.address, timeout_s=_TIMEOUT_S)
