--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -176,21 +176,16 @@
         ``StoreUnavailable`` if certainly nothing was stored, and
         ``StoreAnswerLost`` if any of the attempts may have been.
         """
-        maybe_stored = False
+        told: Failure | None = None
         while True:
             try:
                 return await self._cancel_once(job_id)
-            except StoreUnavailable as refusal:
-                if self._must_give_up(deadline_s):
-                    if not maybe_stored:
-                        raise
-                    raise StoreAnswerLost(
-                        message='an earlier attempt got no answer'
-                    ) from refusal
-            except StoreAnswerLost:
-                maybe_stored = True
+            except (StoreUnavailable, StoreAnswerLost) as failure:
+                # A later refusal says nothing about an unanswered attempt.
+                if not isinstance(told, StoreAnswerLost):
+                    told = failure
                 if self._must_give_up(deadline_s):
-                    raise
+                    raise told
             await trio.sleep(_RETRY_PAUSE_S)
 
     async def _cancel_once(self, job_id: JobId) -> bool:
