Start nothing in a data centre that an operator has evacuated

Cause: the request was read by nobody.

Change: every entry follows the requests in the watch that brings the configuration; the fleet leaves the workers of evacuated data centres out of every choice, and the right to send a start order is checked again right before it leaves. What runs there goes on.

--- a/src/marjoramwharf/cells/advice.py
+++ b/src/marjoramwharf/cells/advice.py
@@ -222,9 +222,8 @@
         service = queue_of(task, queues).service or job_of(task).request.service
         usable = [
             worker
-            for worker in self.fleet.workers_of(service)
-            if worker.is_usable(now_s)
-            and worker.could_ever_run(task.step.request)
+            for worker in self.fleet.usable_workers_of(service, now_s)
+            if worker.could_ever_run(task.step.request)
             and _life_of(worker) not in step_tickets.refused
         ]
         usable.sort(
--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -35,7 +35,7 @@
 from marjoramwharf.isolation import run_isolated, run_restarted
 from marjoramwharf.links.prefix_watcher import PrefixWatcher
 from marjoramwharf.logs import part_logger
-from marjoramwharf.scheduling.fleet import WorkerState
+from marjoramwharf.scheduling.fleet import Fleet, Worker, WorkerState
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_state import (
     Job,
@@ -109,6 +109,7 @@
             max_over_target_s=context.bounds.max_over_target_ms / _MS_PER_S,
             drain_ms=context.bounds.drain_ms,
             on_change=self._plan_signal.set,
+            fleet=Fleet(evacuated=context.evacuated),
         )
         self._progress_writer = ProgressWriter(
             store=context.store,
@@ -246,9 +247,13 @@
         """Return a run that has not ended, by its task and number."""
         return self.job_table.find_run(task, number)
 
-    def may_start_runs(self) -> bool:
-        """Whether this entry may still send orders to start runs."""
-        return self.ownership.is_current()
+    def may_start_runs(self, worker: Worker) -> bool:
+        """Whether this entry may send orders to start runs at a worker.
+
+        Its data centre may have been evacuated since the runs were planned.
+        """
+        is_evacuated = self.worker_registry.fleet.is_evacuated(worker)
+        return self.ownership.is_current() and not is_evacuated
 
     def may_extend_leases(self) -> bool:
         """Whether this entry may still extend the leases of runs."""
--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
 from marjoramwharf.cells.advice import AdviceClient
@@ -11,6 +12,7 @@
 from marjoramwharf.cells.records import CellId
 from marjoramwharf.cells.worker_messages import WorkerClient
 from marjoramwharf.cells.worker_registry import ListingDecoder
+from marjoramwharf.ids import DataCentreId
 from marjoramwharf.links.store import Guard, PollingStore
 from marjoramwharf.scheduling.policy import Configuration
 
@@ -23,7 +25,8 @@
 
     ``decode_listing`` decodes a key and value below ``workers_prefix`` and
     raises ``BadListing`` if they name no worker. ``hold_ms`` is the length of
-    the leases of runs.
+    the leases of runs. No run starts in the ``evacuated`` data centres, a view
+    that follows the operators' requests.
     """
 
     store: PollingStore
@@ -35,6 +38,7 @@
     hold_ms: int
     counters: CellCounters = field(default_factory=CellCounters)
     advice_client: AdviceClient | None = None
+    evacuated: AbstractSet[DataCentreId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/marjoramwharf/cells/link_context.py
+++ b/src/marjoramwharf/cells/link_context.py
@@ -9,6 +9,7 @@
 from marjoramwharf.cells.end_acknowledgements import EndAcknowledgements
 from marjoramwharf.cells.worker_messages import WorkerClient
 from marjoramwharf.ids import TaskId, WorkerId
+from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.job_state import Job, Run, RunEnd
 
 
@@ -30,8 +31,8 @@
     def on_polled(self, worker_id: WorkerId) -> None:
         """React to a poll whose report has been processed."""
 
-    def may_start_runs(self) -> bool:
-        """Whether this entry may still send orders to start runs."""
+    def may_start_runs(self, worker: Worker) -> bool:
+        """Whether this entry may send orders to start runs at a worker."""
 
     def may_extend_leases(self) -> bool:
         """Whether this entry may still extend the leases of runs."""
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -185,7 +185,7 @@
         therefore checked right before the lease is granted: an order that
         leaves later carries that lease and is refused once it has ended.
         """
-        if not self.owner.may_start_runs():
+        if not self.owner.may_start_runs(self.worker):
             return OrderAnswer(OrderOutcome.NOT_SENT)
         expires_ms = self.clock.grant_lease(self.context.hold_ms, now_s=now_s)
         if expires_ms is None:
--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -76,9 +76,18 @@
         cell = self.get_cell()
         if cell is None:
             return {'owns_cell': {'': 0}}
-        workers = cell.worker_registry.fleet.workers.values()
+        fleet = cell.worker_registry.fleet
+        workers = fleet.workers.values()
         return {
             'owns_cell': {'': 1},
+            'evacuated_data_centres': {'': len(fleet.evacuated)},
+            'runs_in_evacuated_data_centres': {
+                '': sum(
+                    len(worker.runs)
+                    for worker in workers
+                    if fleet.is_evacuated(worker)
+                ),
+            },
             'ready_tasks': {'': len(cell.job_table.ready)},
             'unstored_jobs': {'': len(cell.job_table.unstored)},
             'workers': {
--- a/src/marjoramwharf/programs/cells.py
+++ b/src/marjoramwharf/programs/cells.py
@@ -1,4 +1,4 @@
-"""``marjoramwharf-cells``: owners, jobs and workers as stored.
+"""``marjoramwharf-cells``: owners, jobs, evacuations and workers as stored.
 
     marjoramwharf-cells --store 10.200.1.7:8169
 
@@ -9,6 +9,7 @@
 
 import sys
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -26,9 +27,13 @@
     request_key,
 )
 from marjoramwharf.errors import BadListing
-from marjoramwharf.ids import JobId
+from marjoramwharf.ids import DataCentreId, JobId
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.links.store import PollingStore
+from marjoramwharf.platform.evacuation_requests import (
+    EVACUATIONS_PREFIX,
+    evacuated_data_centre,
+)
 from marjoramwharf.platform.kv_store import KvStore
 from marjoramwharf.platform.worker_listings import (
     WORKERS_PREFIX,
@@ -79,6 +84,37 @@
     ]
 
 
+async def evacuation_rows(store: PollingStore, cell: CellId) -> list[Row]:
+    """Return a row for each evacuated data centre and what still runs there.
+
+    A request that names a data centre without workers shows none.
+    """
+    workers: dict[str, DataCentreId] = {}
+    for stored in (await store.read_prefix(WORKERS_PREFIX)).found:
+        with suppress(BadListing):
+            listing = decode_listing(stored.key, stored.body)
+            workers[listing.worker_id] = listing.data_centre
+    runs: Counter[DataCentreId | None] = Counter()
+    for stored in (await store.read_prefix(progress_prefix(cell))).found:
+        record = decode(stored.body, ProgressRecord, key=stored.key)
+        runs.update(
+            workers.get(run.worker_id)
+            for task in record.tasks
+            for run in task.runs
+        )
+    requests = (await store.read_prefix(EVACUATIONS_PREFIX)).found
+    names = [evacuated_data_centre(stored.key) for stored in requests]
+    return [
+        {
+            'evacuated': name,
+            'workers': sum(where == name for where in workers.values()),
+            'live_runs': runs[name],
+        }
+        for name in names
+        if name is not None
+    ]
+
+
 async def worker_rows(store: PollingStore) -> list[Row]:
     """Return a row for each listed worker, also for unreadable listings."""
     rows: list[Row] = []
@@ -120,7 +156,7 @@
     ] = False
 
     def run(self) -> int:
-        """Read the store and print three tables."""
+        """Read the store and print four tables."""
         trio.run(self._print)
         return 0
 
@@ -129,6 +165,7 @@
         for rows in (
             await owner_rows(store),
             await job_rows(store, CellId(self.cell)),
+            await evacuation_rows(store, CellId(self.cell)),
             await worker_rows(store),
         ):
             print_rows(rows, as_json=self.as_json)
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -19,6 +19,7 @@
 from marjoramwharf.cells.config_cache import ConfigCache
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.entry_directory import EntryDirectory
+from marjoramwharf.cells.evacuations import Evacuations
 from marjoramwharf.cells.instance_settings import InstanceSettings
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.owner_link import OwnerLink, answer_job_call
@@ -36,6 +37,7 @@
 from marjoramwharf.links.peer_server import PeerServer
 from marjoramwharf.links.prefix_watcher import PrefixWatcher
 from marjoramwharf.links.relayed_store import RelayedStore
+from marjoramwharf.links.store import WatchBatch
 from marjoramwharf.links.store_reachability import StoreReachability
 from marjoramwharf.links.store_relay import (
     STORE_METHOD,
@@ -47,6 +49,7 @@
 from marjoramwharf.logs import configure_logs, part_logger
 from marjoramwharf.platform import settings_file
 from marjoramwharf.platform.advice_client import PlatformAdviceClient
+from marjoramwharf.platform.evacuation_requests import evacuated_data_centre
 from marjoramwharf.platform.job_api import JobApi, answer_readiness
 from marjoramwharf.platform.kv_store import KvStore
 from marjoramwharf.platform.operator_config import (
@@ -65,7 +68,7 @@
 
 # Named in deploy/system.toml.
 METRICS_PORT = 9464
-_CONFIG_PREFIX = 'op/'
+_OPERATORS_PREFIX = 'op/'
 _MS_PER_S = 1_000
 
 # Longer than the store takes when it is a hundred times slower than usual. A
@@ -90,7 +93,7 @@
 
 # How long a watch request waits for a change. A silent connection is noticed
 # one second after that, and a configuration must be in force within 2 s.
-_CONFIG_WAIT_MS = 900
+_OPERATORS_WAIT_MS = 900
 _OWNERS_WAIT_MS = 2_000
 
 # The platform stops sending connections after two readiness checks, 1 s apart.
@@ -117,6 +120,9 @@
             decode_configuration,
         ),
     )
+    evacuations: Evacuations = field(
+        default_factory=partial(Evacuations, evacuated_data_centre)
+    )
     output: BoundedOutput | None = None
     counters: CellCounters = field(default_factory=CellCounters)
     cell: Cell | None = None
@@ -207,7 +213,7 @@
         settings = self.settings
         async with trio.open_nursery() as nursery:
             for task, call in (
-                ('configuration', self._follow_configuration),
+                ('operator requests', self._follow_operators),
                 ('owners', self._follow_owners),
                 ('store probe', self.store.run_probe),
                 ('store relay', self.relay.run),
@@ -253,6 +259,7 @@
                 ),
                 counters=self.counters,
                 advice_client=self._build_advice_client(),
+                evacuated=self.evacuations.data_centres,
             ),
         )
         self.cell = cell
@@ -291,11 +298,23 @@
         address = self.settings.advice_address
         return PlatformAdviceClient(self.client, address) if address else None
 
-    async def _follow_configuration(self) -> None:
+    async def _follow_operators(self) -> None:
         await PrefixWatcher(
-            self.store, _CONFIG_PREFIX, self.config.apply, _CONFIG_WAIT_MS
+            self.store,
+            _OPERATORS_PREFIX,
+            self._apply_operator_batch,
+            _OPERATORS_WAIT_MS,
         ).run()
 
+    async def _apply_operator_batch(self, batch: WatchBatch) -> None:
+        """Apply changes by operators.
+
+        Nothing is planned without a configuration, so the evacuations, which
+        are read with it, come first.
+        """
+        await self.evacuations.apply(batch)
+        await self.config.apply(batch)
+
     async def _follow_owners(self) -> None:
         await PrefixWatcher(
             self.store, OWNERS_PREFIX, self.view.apply, _OWNERS_WAIT_MS
--- a/src/marjoramwharf/scheduling/candidates.py
+++ b/src/marjoramwharf/scheduling/candidates.py
@@ -52,8 +52,7 @@
         if found is None:
             found = [
                 Candidate(worker, _trouble_cost(worker, self.now_s))
-                for worker in self.fleet.workers_of(service)
-                if worker.is_usable(self.now_s)
+                for worker in self.fleet.usable_workers_of(service, self.now_s)
             ]
             self._by_service[service] = found
         return found
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -6,6 +6,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterator
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -249,9 +250,13 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """The workers of a cell by id."""
+    """The workers of a cell by id.
+
+    The workers of ``evacuated`` data centres get no new runs.
+    """
 
     workers: dict[WorkerId, Worker] = field(default_factory=dict)
+    evacuated: AbstractSet[DataCentreId] = frozenset()
 
     def workers_of(self, service: str) -> list[Worker]:
         """Return the workers of a service, in no special order."""
@@ -261,6 +266,18 @@
             if worker.listing.service == service
         ]
 
+    def usable_workers_of(self, service: str, now_s: float) -> list[Worker]:
+        """Return the workers of a service that take new runs now."""
+        return [
+            worker
+            for worker in self.workers_of(service)
+            if worker.is_usable(now_s) and not self.is_evacuated(worker)
+        ]
+
+    def is_evacuated(self, worker: Worker) -> bool:
+        """Whether a worker is in an evacuated data centre."""
+        return worker.listing.data_centre in self.evacuated
+
     def reserve(self, run: Run) -> None:
         """Reserve the resources of a run on its worker, if that is listed."""
         worker = self.workers.get(run.worker_id)
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -15,6 +15,7 @@
 from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.clocks import boot_s, replaced_clocks
+from marjoramwharf.cells.evacuations import Evacuations
 from marjoramwharf.cells.instance_settings import Bounds
 from marjoramwharf.cells.job_status import PublicJobState
 from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
@@ -30,6 +31,10 @@
 from marjoramwharf.ids import DataCentreId, JobId, TaskId, WorkerId
 from marjoramwharf.links.prefix_watcher import PrefixWatcher
 from marjoramwharf.links.store import Guard, Write
+from marjoramwharf.platform.evacuation_requests import (
+    EVACUATIONS_PREFIX,
+    evacuated_data_centre,
+)
 from marjoramwharf.scheduling.fleet import Resources, WorkerListing, WorkerState
 from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
@@ -101,6 +106,9 @@
     cell: Cell | None = None
     campaign: Campaign | None = None
     gate: FreezeGate = field(default_factory=FreezeGate)
+    evacuations: Evacuations = field(
+        default_factory=partial(Evacuations, evacuated_data_centre)
+    )
     tenures_count: int = 0
 
 
@@ -141,6 +149,7 @@
         *,
         state: WorkerState = WorkerState.READY,
         remaining_ms: int | None = None,
+        data_centre: str = 'plovdiv',
     ) -> SimulatedWorker:
         """Add a worker to the list, or change its state there."""
         worker_id = WorkerId(name)
@@ -153,7 +162,7 @@
             service=SERVICE,
             host=name,
             port=1,
-            data_centre=DataCentreId('plovdiv'),
+            data_centre=DataCentreId(data_centre),
             state=state,
             capacity=Resources(8_000, 8_000, 0),
             labels=('a', 'r1'),
@@ -170,6 +179,16 @@
         """Store a cancellation as an entry does."""
         await self._store(cancel_key(CELL, job_id), b'1')
 
+    async def evacuate(self, data_centre: str) -> None:
+        """Store an operator's request to evacuate a data centre."""
+        await self._store(f'{EVACUATIONS_PREFIX}{data_centre}', b'{}')
+
+    async def take_back(self, data_centre: str) -> None:
+        """Remove the request to evacuate a data centre."""
+        self.store.state.apply(
+            [Write(f'{EVACUATIONS_PREFIX}{data_centre}', None)]
+        )
+
     def spawn(self, nursery: trio.Nursery, name: str) -> Candidate:
         """Start the process of an entry that competes for the cell."""
         candidate = Candidate()
@@ -256,6 +275,12 @@
                     candidate.view.apply,
                 )
                 nursery.start_soon(follower.run)
+                operators = PrefixWatcher(
+                    FreezableStore(self.store, candidate.gate),
+                    EVACUATIONS_PREFIX,
+                    candidate.evacuations.apply,
+                )
+                nursery.start_soon(operators.run)
                 if candidate.campaign is not None:
                     nursery.start_soon(candidate.campaign.run)
 
@@ -284,6 +309,7 @@
                 decode_listing=self._decode_listing,
                 bounds=Bounds(),
                 hold_ms=HOLD_MS,
+                evacuated=candidate.evacuations.data_centres,
             ),
         )
         try:
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -31,6 +31,7 @@
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
 from marjoramwharf.links.store import Guard
+from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
 
 _Patch = AbstractContextManager[Any]
@@ -116,6 +117,14 @@
     return answer
 
 
+def _may_start_anywhere(self: Cell, _worker: Worker) -> bool:
+    return self.ownership.is_current()
+
+
+def _never(*_args: object, **_named: object) -> bool:
+    return False
+
+
 def _always(*_args: object, **_named: object) -> bool:
     return True
 
@@ -164,6 +173,12 @@
     'orders to a worker take turns': lambda: patch(
         f'{WorkerOrders.__module__}._CONCURRENT_ORDERS_COUNT', _LONG_S
     ),
+    'an order is not sent to a worker evacuated meanwhile': lambda: (
+        patch.object(Cell, 'may_start_runs', _may_start_anywhere)
+    ),
+    'evacuated workers are known to the planner and to orders': lambda: (
+        patch.object(Fleet, 'is_evacuated', _never)
+    ),
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
--- a/tests/programs/test_cells.py
+++ b/tests/programs/test_cells.py
@@ -19,7 +19,12 @@
 )
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.store import Write
-from marjoramwharf.programs.cells import job_rows, owner_rows, worker_rows
+from marjoramwharf.programs.cells import (
+    evacuation_rows,
+    job_rows,
+    owner_rows,
+    worker_rows,
+)
 from marjoramwharf.scheduling.job_state import JobPhase
 from standins.platform_process import worker_listing
 from standins.polling_store import PollingMemoryStore
@@ -49,6 +54,8 @@
                 Write(request_key(_CELL, second.job_id), encode(second)),
                 Write(progress_key(_CELL, JobId('a')), encode(running)),
                 Write('servers/w1', worker_listing(7_001, 'r1')),
+                Write('op/evacuate/ruse', b'{}'),
+                Write('op/evacuate/nowhere', b'{}'),
                 Write('servers/w2', b'from another writer'),
             ],
         )
@@ -57,6 +64,14 @@
         self.assertNotIn('secret', str(owners))
         jobs = (await job_rows(store, _CELL))[0]
         self.assertEqual((2, 1, 1), tuple(map(jobs.get, _COUNTS)))
+        evacuated = await evacuation_rows(store, _CELL)
+        self.assertEqual(
+            [
+                {'evacuated': 'nowhere', 'workers': 0, 'live_runs': 0},
+                {'evacuated': 'ruse', 'workers': 1, 'live_runs': 1},
+            ],
+            evacuated,
+        )
         workers = await worker_rows(store)
         self.assertEqual('r1', workers[0]['rack'])
         self.assertEqual(2, len(workers))
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -19,6 +19,7 @@
 from tests.cells import (
     test_cell,
     test_connection_use,
+    test_evacuations,
     test_histories,
     test_late_answers,
     test_malformed_records,
@@ -31,6 +32,7 @@
     test_late_answers,
     test_malformed_records,
     test_connection_use,
+    test_evacuations,
     test_histories,
 )
 
