Move runs as slow only off workers that are slow

Cause: a run was compared with its step alone, so each long task counted as a slow worker.

Change: the worker is judged by all runs there that can be compared with others of their step, running ones and those that ended in the last 4 s; a run is moved only if the median of these is below 0.6. A run that is alone on its worker is judged by itself, as before.

test_long_task_on_a_sound_worker fails before.

--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -26,6 +26,7 @@
 from marjoramwharf.scheduling.job_table import JobTable
 from marjoramwharf.scheduling.pacing import PaceController
 from marjoramwharf.scheduling.readings import InterferenceLearner
+from marjoramwharf.scheduling.run_moves import relative_rate
 
 _LOG = part_logger('worker')
 
@@ -110,6 +111,10 @@
             return
         worker.remove(run)
         self._learners[worker.worker_id].record_end(run, now_s=now_s)
+        if how is RunEnd.DONE:
+            rate = relative_rate(run, now_s)
+            if rate is not None:
+                worker.speed.record(rate, now_s=now_s)
         if how in {RunEnd.DONE, RunEnd.FAILED}:
             worker.record_outcome(
                 has_failed=how is RunEnd.FAILED,
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -12,6 +12,7 @@
 
 from marjoramwharf.ids import DataCentreId, WorkerId
 from marjoramwharf.scheduling.job_state import Run, Step
+from marjoramwharf.scheduling.worker_speed import WorkerSpeed
 from marjoramwharf.scheduling.workload import StepRequest
 
 if TYPE_CHECKING:
@@ -113,6 +114,7 @@
     headrooms_key: tuple[int, int] = (-1, -1)
     headrooms: tuple[ExpectedHeadroom, ...] = ()
     harms: dict[tuple[str, int], float] = field(default_factory=dict)
+    speed: WorkerSpeed = field(default_factory=WorkerSpeed)
     runs: set[Run] = field(default_factory=set)
     step_counts: Counter[int] = field(default_factory=Counter)
     serving_millicores_by_image: Counter[str] = field(default_factory=Counter)
--- a/src/marjoramwharf/scheduling/run_moves.py
+++ b/src/marjoramwharf/scheduling/run_moves.py
@@ -33,6 +33,7 @@
 _SLOW_MIN_ELAPSED_S = 0.8
 
 _MIN_ELAPSED_S = 0.1
+_MIN_RATE = 0.01  # percent per second
 
 # A slow run that saves no checkpoints is moved only below this progress, since
 # it starts from the beginning.
@@ -88,7 +89,7 @@
     # Progress is as old as the latest report, so it is compared with that time.
     if _is_hung(run, worker.reported_at_s):
         return MoveReason.HUNG
-    if _is_slow(run, worker.reported_at_s):
+    if _is_slow(run, worker):
         return MoveReason.SLOW
     return None
 
@@ -123,18 +124,38 @@
     return max(estimated_s, shown_s)
 
 
-def _is_slow(run: Run, reported_s: float) -> bool:
-    """Whether a run is much slower than the others of its step."""
+def relative_rate(run: Run, reported_s: float) -> float | None:
+    """Return a run's progress rate relative to the median of its step.
+
+    Returns ``None`` where they can't be compared: for lasting, paced and new
+    runs, and while few rates of the step are known.
+    """
     step = run.step
     was_paced = run.pace_changed_s or run.pace_percent < _FULL_PERCENT
     if step.is_lasting or was_paced or run.started_s is None:
-        return False
+        return None
     if reported_s - run.started_s < _SLOW_MIN_ELAPSED_S:
-        return False
+        return None
     rates = _progress_rates(run.task.step)
     if len(rates) < _SLOW_MIN_RATES_COUNT:
-        return False
-    if _progress_rate(run) >= _SLOW_SHARE * statistics.median(rates):
+        return None
+    return _progress_rate(run) / max(statistics.median(rates), _MIN_RATE)
+
+
+def _is_worker_slow(worker: Worker) -> bool:
+    """Whether a worker is slow by all runs there that can be compared."""
+    reported_s = worker.reported_at_s
+    rates = (relative_rate(run, reported_s) for run in worker.runs)
+    known = [rate for rate in rates if rate is not None]
+    return worker.speed.is_slow(known, now_s=reported_s)
+
+
+def _is_slow(run: Run, worker: Worker) -> bool:
+    """Whether a run is much slower than its step, on a worker that is slow."""
+    step = run.step
+    reported_s = worker.reported_at_s
+    rate = relative_rate(run, reported_s)
+    if rate is None or rate >= _SLOW_SHARE or not _is_worker_slow(worker):
         return False
     may_restart = step.has_checkpoints or run.percent < _MAX_RESTART_PERCENT
     return (
--- a/tests/scheduling/test_pacing.py
+++ b/tests/scheduling/test_pacing.py
@@ -11,6 +11,7 @@
 from marjoramwharf.scheduling.pacing import PaceController
 from marjoramwharf.scheduling.readings import InterferenceLearner
 from marjoramwharf.scheduling.run_moves import MoveReason, find_run_moves
+from marjoramwharf.scheduling.worker_speed import WorkerSpeed
 from tests.scheduling.fixtures import (
     add_job,
     first_task,
@@ -151,7 +152,34 @@
 
     def test_slow_run(self) -> None:
         """Guards against a step that waits for its slowest worker."""
-        job = add_job(self.job_table, 'j', make_step(5, has_checkpoints=True))
+        slow = self._start_slow('j')
+        self.assertEqual({slow: MoveReason.SLOW}, self._moves(10))
+        slow.percent = 80
+        self.assertFalse(self._moves(10))
+
+    def test_long_task_on_a_sound_worker(self) -> None:
+        """Guards against runs that are moved for being long.
+
+        The load: 3% of the tasks take seven times as long as the others, and
+        most of what runs beside them is as fast as elsewhere.
+        """
+        long = self._start_slow('j')
+        for ratio in (0.9, 1.1):
+            self.worker.speed.record(ratio, now_s=9)
+        self.assertFalse(self._moves(10))
+        # The worker turns slow: what ends there takes as long.
+        for ratio in (0.2, 0.3):
+            self.worker.speed.record(ratio, now_s=9.9)
+        self.assertEqual({long: MoveReason.SLOW}, self._moves(10))
+        # Old ends tell nothing about a worker.
+        self.worker.speed = WorkerSpeed()
+        for ratio in (0.9, 1.1, 1.0):
+            self.worker.speed.record(ratio, now_s=2)
+        self.assertEqual({long: MoveReason.SLOW}, self._moves(10))
+
+    def _start_slow(self, name: str) -> Run:
+        """Start a run at a seventh of the speed of four that have ended."""
+        job = add_job(self.job_table, name, make_step(5, has_checkpoints=True))
         tasks = job.occurrences[0].steps[0].tasks
         for task in tasks[:4]:
             run = start_run(self.job_table, task, make_worker('w2'), now_s=8)
@@ -166,9 +194,7 @@
         slow.percent = 30
         slow.progress_read_s = 10
         slow.progressed_s = 10
-        self.assertEqual({slow: MoveReason.SLOW}, self._moves(10))
-        slow.percent = 80
-        self.assertFalse(self._moves(10))
+        return slow
 
     def test_long_run(self) -> None:
         """Guards against a sound run that is stopped for its slow percent.
