--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -141,6 +141,13 @@
             self._model,
             self._ticket_cache.tickets,
         )
+        self._run_mover = RunMover(
+            worker_registry=self.worker_registry,
+            planner=planner,
+            queue_of=self._queue_of,
+            counters=context.counters,
+            on_planned=self._progress_writer.wake,
+        )
         self._plan_loop = PlanLoop(
             planner=planner,
             job_table=self.job_table,
@@ -148,13 +155,7 @@
             signal=self._plan_signal,
             may_plan=self._may_plan,
             on_planned=self._progress_writer.wake,
-        )
-        self._run_mover = RunMover(
-            worker_registry=self.worker_registry,
-            planner=planner,
-            queue_of=self._queue_of,
-            counters=context.counters,
-            on_planned=self._progress_writer.wake,
+            preempt=lambda: self._run_mover.preempt(now_s=boot_s()),
         )
 
     async def run(self) -> None:
--- a/src/marjoramwharf/cells/counters.py
+++ b/src/marjoramwharf/cells/counters.py
@@ -36,6 +36,7 @@
     tenures_count: int = 0
     pace_orders_count: int = 0
     moved_runs_count: int = 0
+    preempted_runs_count: int = 0
     written_bytes: int = 0
     commits_count: int = 0
     wait_samples_s: deque[float] = field(default_factory=_new_samples)
--- a/src/marjoramwharf/cells/plan_loop.py
+++ b/src/marjoramwharf/cells/plan_loop.py
@@ -29,7 +29,8 @@
     """Plans after each ``signal`` and at least four times a second.
 
     Nothing is planned unless ``may_plan``. ``on_planned`` is called after a
-    pass that has planned runs, which then have to be stored.
+    pass that has planned runs, which then have to be stored, and ``preempt``
+    after each pass, to make room for tasks that found none.
     """
 
     planner: Planner
@@ -38,6 +39,7 @@
     signal: AutoResetEvent
     may_plan: Callable[[], bool]
     on_planned: Callable[[], None]
+    preempt: Callable[[], None]
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -73,6 +75,7 @@
         planned = self.planner.plan(
             configuration.queues, now_s=now_s, now_ms=now_ms
         )
+        self.preempt()
         for plan in planned:
             log_plan(plan, configuration.version)
         if planned:
--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -63,6 +63,7 @@
             'tenures_total': {'': counters.tenures_count},
             'pace_orders_total': {'': counters.pace_orders_count},
             'moved_runs_total': {'': counters.moved_runs_count},
+            'preempted_runs_total': {'': counters.preempted_runs_count},
             'store_commits_total': {'': counters.commits_count},
             'store_written_bytes_total': {'': counters.written_bytes},
             'connections_opened_total': {'': self.client.opened_count},
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -20,6 +20,7 @@
     Step,
     Task,
 )
+from marjoramwharf.scheduling.short_work import ShortWorkDemand
 from marjoramwharf.scheduling.workload import JobRequest
 
 # A task may start this much before its due time; this has to be below the
@@ -46,6 +47,7 @@
     jobs: dict[JobId, Job] = field(default_factory=dict)
     ready: dict[TaskId, Task] = field(default_factory=dict)
     unstored: dict[JobId, Job] = field(default_factory=dict)
+    short_work: ShortWorkDemand = field(default_factory=ShortWorkDemand)
     _repeating: dict[JobId, Job] = field(default_factory=dict)
     _early: list[Occurrence] = field(default_factory=list)
 
@@ -56,6 +58,7 @@
             return present
         job = Job(request, known_since_s=now_s)
         self.jobs[job.job_id] = job
+        self.short_work.record_job(request)
         if request.repeat_count:
             self._repeating[job.job_id] = job
         else:
@@ -66,6 +69,7 @@
     def add_restored(self, job: Job, *, now_s: float, now_ms: int) -> None:
         """Add a job whose state was read from the store."""
         self.jobs[job.job_id] = job
+        self.short_work.record_job(job.request)
         if not job.is_open:
             return
         if job.request.repeat_count:
--- a/src/marjoramwharf/scheduling/ordering.py
+++ b/src/marjoramwharf/scheduling/ordering.py
@@ -22,14 +22,22 @@
 # Estimates are rough: a critical path may turn out shorter by this share.
 _ESTIMATE_ERROR_SHARE = 0.4
 
+# A lasting task that has waited for longer goes first, so that none starves.
+_MAX_LASTING_WAIT_S = 4.0
+
 
 @enum.unique
 class Tier(enum.IntEnum):
-    """Whether a job can be on time, or of use at all; lower goes first."""
+    """Whether a job can be on time, or of use at all; lower goes first.
+
+    Lasting tasks come after short ones that can be on time: a second later,
+    they lose a second of their life, and the others their objective.
+    """
 
     ON_TIME = 0
-    LATE = 1
-    USELESS = 2
+    LASTING = 1
+    LATE = 2
+    USELESS = 3
 
 
 class Rank(NamedTuple):
@@ -61,16 +69,20 @@
     return queue.stretch * critical_path_ms + queue.target_latency_ms
 
 
-def step_rank(step: Step, queue: QueuePolicy, *, now_ms: int) -> Rank:
-    """Return the sort key of a waiting step.
+def step_rank(
+    step: Step, queue: QueuePolicy, *, now_ms: int, ready_for_s: float = 0
+) -> Rank:
+    """Return the sort key of a step whose tasks wait for ``ready_for_s``.
 
     Jobs that can hardly meet their objective any more come after those that
-    can. Lasting steps count as on time, without slack.
+    can. Lasting steps come between them, until they have waited for long.
     """
     request = step.occurrence.job.request
     since_ms = max(request.accepted_at_ms, step.occurrence.due_ms)
     if step.request.is_lasting:
-        return Rank(Tier.ON_TIME, 0, queue.priority, since_ms)
+        is_overdue = ready_for_s > _MAX_LASTING_WAIT_S
+        tier = Tier.ON_TIME if is_overdue else Tier.LASTING
+        return Rank(tier, 0, queue.priority, since_ms)
     allowed_ms = objective_ms(step, queue)
     passed_ms = now_ms - since_ms
     slack_ms = allowed_ms - passed_ms - step.critical_path_ms
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -30,6 +30,7 @@
 _OTHER_IMAGE_COST = 2.0  # serving: for the CPU of serving runs of other images
 _SAME_STEP_GAIN = 0.3  # serving: a task of the same step is there
 _SERVING_BESIDE_FILLING_COST = 1.0  # serving: for the CPU of filling runs
+_FREE_PIECE_COST = 2.0  # others: for the CPU that is not reserved
 
 # A serving task uses about this share of the CPU that it reserves.
 _SERVING_USE_SHARE = 0.45
@@ -284,12 +285,17 @@
 
 
 def _plain_cost(worker: Worker) -> float:
-    """Return the expected share of the worker's CPU in use."""
+    """Return the cost of a task that is neither filling nor serving.
+
+    That is the expected share of the worker's CPU in use, and the free piece:
+    small tasks leave large pieces whole for large ones.
+    """
     whole = max(1, worker.capacity.cpu_millicores)
     filling = worker.filling_millicores / whole
     serving = worker.serving_millicores / whole * _SERVING_USE_SHARE
     plain = (worker.reserved_millicores - worker.serving_millicores) / whole
-    return plain + filling + serving
+    free = (whole - worker.reserved_millicores) / whole
+    return plain + filling + serving + _FREE_PIECE_COST * free
 
 
 def _choose_for_all(
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -5,7 +5,7 @@
 import math
 import statistics
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from operator import itemgetter
 
 from marjoramwharf.ids import WorkerId
@@ -36,6 +36,7 @@
     choose_worker,
 )
 from marjoramwharf.scheduling.policy import QueuePolicy
+from marjoramwharf.scheduling.preemption import Shortage
 from marjoramwharf.scheduling.unplaceable_steps import UnplaceableSteps
 
 # Largest harm (see scheduling.headroom) at which a filling task starts: hardly
@@ -76,6 +77,7 @@
     fleet: Fleet
     model: InterferenceModel
     tickets: TicketSource
+    shortages: list[Shortage] = field(default_factory=list)
 
     def plan(
         self,
@@ -86,32 +88,36 @@
     ) -> list[StepPlan]:
         """Plan runs for the ready tasks that fit, and reserve for them."""
         planned: list[StepPlan] = []
+        self.shortages.clear()
         if not self.job_table.ready:
             return planned
         unplaceable = UnplaceableSteps()
         pool = CandidatePool(self.fleet, now_s)
         mean_millicores = self._mean_serving_millicores()
         for rank, group in self._ranked_groups(queues, now_s, now_ms):
-            service = queue_of(group[0], queues).service
+            first = group[0]
+            service = queue_of(first, queues).service
+            usable = pool.of_service(service)
             context = PlacementContext(
                 self.model,
                 now_s,
-                allowed_harm=_allowed_harm(group[0], rank, pool),
+                allowed_harm=_allowed_harm(first, rank, pool),
                 serving_job_millicores=mean_millicores,
             )
             try:
                 plan = self._plan_group(
-                    group,
+                    self._within_room(group, rank, usable, now_ms),
                     service,
                     rank,
                     unplaceable,
-                    self._candidates(group[0], pool.of_service(service)),
+                    self._candidates(first, usable),
                     context,
                 )
             except Exception:
                 # One job must not keep all others from being planned.
-                log_unexpected(f'planning of {group[0].name}')
+                log_unexpected(f'planning of {first.name}')
                 continue
+            self._record_shortage(group, plan, rank, usable)
             if plan is not None:
                 planned.append(plan)
         return planned
@@ -133,7 +139,11 @@
         ranked = [
             (
                 step_rank(
-                    group[0].step, queue_of(group[0], queues), now_ms=now_ms
+                    group[0].step,
+                    queue_of(group[0], queues),
+                    now_ms=now_ms,
+                    ready_for_s=now_s
+                    - min(task.ready_since_s for task in group),
                 ),
                 group,
             )
@@ -142,6 +152,48 @@
         ranked.sort(key=itemgetter(0))
         return ranked
 
+    def _within_room(
+        self,
+        group: list[Task],
+        rank: Rank,
+        candidates: Sequence[Candidate],
+        now_ms: int,
+    ) -> list[Task]:
+        """Return the lasting tasks that leave the room held for short ones.
+
+        A gang starts as a whole or not at all. All tasks of other steps, and
+        lasting ones that are overdue, may use any room.
+        """
+        step = group[0].step.request
+        if rank.tier is not Tier.LASTING or not step.cpu_millicores:
+            return group
+        room = self.job_table.short_work.room_millicores(
+            [candidate.worker for candidate in candidates], now_ms
+        )
+        fitting = max(0, room / step.cpu_millicores)
+        count = math.floor(min(len(group), fitting))
+        if step.is_gang and count < len(group):
+            return []
+        return group[:count]
+
+    def _record_shortage(
+        self,
+        group: Sequence[Task],
+        plan: StepPlan | None,
+        rank: Rank,
+        candidates: Sequence[Candidate],
+    ) -> None:
+        """Record the urgent short tasks of a step that found no room."""
+        step = group[0].step.request
+        planned = () if plan is None else plan.runs
+        missing_count = len(group) - len(planned)
+        is_urgent = rank.tier is Tier.ON_TIME and not step.is_lasting
+        is_plain = not (step.fills or step.is_gang or step.needs_one_rack)
+        if missing_count and is_urgent and is_plain:
+            self.shortages.append(
+                Shortage(step, missing_count, rank.priority, candidates)
+            )
+
     def _plan_group(
         self,
         group: Sequence[Task],
@@ -152,6 +204,8 @@
         context: PlacementContext,
     ) -> StepPlan | None:
         """Plan runs for the ready tasks of one step, as far as they fit."""
+        if not group:
+            return None
         step = group[0].step.request
         allowed_harm = context.allowed_harm
         if unplaceable.rules_out(service, step, allowed_harm):
--- /dev/null
+++ b/src/marjoramwharf/scheduling/preemption.py
@@ -0,0 +1,161 @@
+"""Choice of lasting runs to stop so that urgent short tasks find room.
+
+The load answered: lasting tasks reserve nearly all CPU, and short jobs that
+could still be on time find no piece that is large enough. Jobs of lasting tasks
+say how many of these may be unavailable; one that is stopped starts again some
+seconds later, and meanwhile its room serves several short tasks.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from marjoramwharf.scheduling.candidates import Candidate
+from marjoramwharf.scheduling.fleet import Fleet, Worker
+from marjoramwharf.scheduling.job_state import Run, RunPhase, Step
+from marjoramwharf.scheduling.workload import StepRequest
+
+_FULL_PERCENT = 100
+
+# A lasting run is at work for at least this long between two preemptions.
+_MIN_WORK_S = 5.0
+
+# A step with at least this many tasks has many.
+_MANY_TASKS_COUNT = 8
+
+
+@dataclass(slots=True)
+class Shortage:
+    """Urgent short tasks that found no room in the latest pass of the planner.
+
+    ``candidates`` are the workers that they could have run on.
+    """
+
+    request: StepRequest
+    tasks_count: int
+    priority: int
+    candidates: Sequence[Candidate]
+
+
+@dataclass(slots=True)
+class _Budget:
+    """Tasks of each lasting step that may still be made unavailable."""
+
+    left: Counter[int] = field(default_factory=Counter)
+    _known: set[int] = field(default_factory=set)
+
+    def take(self, step: Step) -> bool:
+        """Use up one task of a step's budget; return whether there was one."""
+        key = id(step)
+        if key not in self._known:
+            self._known.add(key)
+            away_count = sum(not _is_at_work(task.runs) for task in step.tasks)
+            self.left[key] = max(0, _allowed_count(step.request) - away_count)
+        if not self.left[key]:
+            return False
+        self.left[key] -= 1
+        return True
+
+
+def choose_victims(
+    shortages: Sequence[Shortage],
+    fleet: Fleet,
+    *,
+    priority_of: Callable[[Run], int],
+    now_s: float,
+) -> list[Run]:
+    """Return the lasting runs to stop for the shortages, in their order.
+
+    Room that stopped runs are about to free counts, so that two passes don't
+    stop runs for the same task. Work of a queue that goes before that of the
+    short tasks is left alone.
+    """
+    freeing = _freeing_millicores(fleet)
+    budget = _Budget()
+    victims: dict[Worker, Run] = {}
+    for shortage in shortages:
+        needed = shortage.tasks_count * shortage.request.cpu_millicores
+        missing = max(0, needed - freeing)
+        freeing = max(0, freeing - needed)
+        for worker, run in _victims_for(shortage, priority_of, now_s):
+            is_free = worker not in victims
+            if missing > 0 and is_free and budget.take(run.task.step):
+                victims[worker] = run
+                missing -= _gain_millicores(shortage.request, worker, run)
+    return list(victims.values())
+
+
+def _freeing_millicores(fleet: Fleet) -> int:
+    """Return the CPU of lasting runs that are being stopped."""
+    return sum(
+        run.step.cpu_millicores
+        for worker in fleet.workers.values()
+        for run in worker.runs
+        if run.step.is_lasting and run.phase is RunPhase.STOPPING
+    )
+
+
+def _victims_for(
+    shortage: Shortage, priority_of: Callable[[Run], int], now_s: float
+) -> list[tuple[Worker, Run]]:
+    """Return the runs whose room would fit a task, cheapest first."""
+    found = [
+        (candidate.worker, run)
+        for candidate in shortage.candidates
+        for run in candidate.worker.runs
+        if _may_be_stopped(run, now_s)
+        and priority_of(run) >= shortage.priority
+        and _gain_millicores(shortage.request, candidate.worker, run)
+    ]
+    found.sort(key=lambda victim: _cost(shortage.request, *victim))
+    return found
+
+
+def _allowed_count(request: StepRequest) -> int:
+    """Return how many lasting tasks of a step may be away at a time.
+
+    A job that states no number still serves its users without one of many.
+    """
+    if request.max_unavailable_count:
+        return request.max_unavailable_count
+    return 1 if request.count >= _MANY_TASKS_COUNT else 0
+
+
+def _may_be_stopped(run: Run, now_s: float) -> bool:
+    step = run.step
+    if not step.is_lasting or step.is_gang or not _allowed_count(step):
+        return False
+    if run.phase is not RunPhase.RUNNING or run.percent < _FULL_PERCENT:
+        return False
+    return run.started_s is not None and now_s - run.started_s > _MIN_WORK_S
+
+
+def _is_at_work(runs: dict[int, Run]) -> bool:
+    return any(
+        run.phase is RunPhase.RUNNING and run.percent == _FULL_PERCENT
+        for run in runs.values()
+    )
+
+
+def _gain_millicores(request: StepRequest, worker: Worker, run: Run) -> int:
+    """Return the CPU of the tasks that fit once a run has left a worker."""
+    free = worker.capacity.cpu_millicores - worker.reserved_millicores
+    free_mb = worker.capacity.memory_mb - worker.reserved_memory_mb
+    if request.memory_mb > free_mb + run.step.memory_mb:
+        return 0
+    size = max(1, request.cpu_millicores)
+    fit_after = (free + run.step.cpu_millicores) // size
+    return int((fit_after - max(0, free) // size) * size)
+
+
+def _cost(request: StepRequest, worker: Worker, run: Run) -> float:
+    """Return the CPU that is lost and not gained, less for useless runs.
+
+    A serving run over its latency target is of no use to its callers now.
+    """
+    lost = run.step.cpu_millicores
+    is_over_target = 0 < run.step.target_tail_ms < run.reading
+    waste = lost - _gain_millicores(request, worker, run)
+    return waste - lost if is_over_target else waste
--- /dev/null
+++ b/src/marjoramwharf/scheduling/short_work.py
@@ -0,0 +1,101 @@
+"""Room that is held back from lasting tasks for short ones still to come.
+
+The load answered: lasting tasks reserve most of the CPU and keep it for a
+minute, while urgent jobs of a second or two arrive all the time and need whole
+pieces of it at once. A lasting task that starts a little later loses little of
+its life; a short job that finds no room is late.
+
+    >>> demand = ShortWorkDemand()
+    >>> demand.record(
+    ...     StepRequest(4, cpu_millicores=2_000, estimate_ms=1_000), 0
+    ... )
+    >>> demand.held_millicores(now_ms=1_000)
+    8800.0
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from marjoramwharf.scheduling.fleet import Worker
+from marjoramwharf.scheduling.workload import JobRequest
+
+# Arrivals of this long count: long enough for several waves of callers.
+_WINDOW_MS = 10_000
+
+
+class _Arrival(NamedTuple):
+    """A short step that arrived, with its size in millicores."""
+
+    at_ms: int
+    task_millicores: int
+    step_millicores: int
+    run_ms: int
+
+
+@dataclass(slots=True)
+class ShortWorkDemand:
+    """The short steps that reserve CPU and arrived within the last seconds."""
+
+    _arrivals: deque[_Arrival] = field(default_factory=deque)
+
+    def record_job(self, request: JobRequest) -> None:
+        """Add the steps of a job, as of the time of its acceptance."""
+        for step in request.steps:
+            if step.cpu_millicores and not (step.is_lasting or step.fills):
+                self._arrivals.append(
+                    _Arrival(
+                        request.accepted_at_ms,
+                        step.cpu_millicores,
+                        step.count * step.cpu_millicores,
+                        step.estimate_ms,
+                    )
+                )
+
+    def held_millicores(self, now_ms: int) -> float:
+        """Return the CPU to hold back: the mean demand and one wide step."""
+        self._forget_before(now_ms - _WINDOW_MS)
+        if not self._arrivals:
+            return 0
+        work = sum(
+            arrival.step_millicores * arrival.run_ms
+            for arrival in self._arrivals
+        )
+        widest = max(arrival.step_millicores for arrival in self._arrivals)
+        return work / _WINDOW_MS + widest
+
+    def room_millicores(self, workers: Sequence[Worker], now_ms: int) -> float:
+        """Return the CPU that lasting tasks may take without harm to others.
+
+        What short tasks use now counts as held for them already. Only pieces
+        that most recent tasks fit in count as free.
+        """
+        held = self.held_millicores(now_ms)
+        if not held:
+            return math.inf
+        piece = self._piece_millicores()
+        free = sum(
+            (worker.capacity.cpu_millicores - worker.reserved_millicores)
+            // piece
+            * piece
+            for worker in workers
+        )
+        in_use = sum(
+            worker.reserved_millicores - worker.serving_millicores
+            for worker in workers
+        )
+        return free + in_use - held
+
+    def _piece_millicores(self) -> int:
+        """Return the CPU that three of four recent tasks fit in."""
+        sizes = sorted(arrival.task_millicores for arrival in self._arrivals)
+        return sizes[len(sizes) * 3 // 4]
+
+    def _forget_before(self, at_ms: int) -> None:
+        self._arrivals = deque(
+            arrival for arrival in self._arrivals if arrival.at_ms >= at_ms
+        )
--- a/standins/simulated_worker.py
+++ b/standins/simulated_worker.py
@@ -3,7 +3,7 @@
 A task's payload controls the run: ``ms=150`` makes it take 150 ms, and with
 ``more=20`` each task of a step takes 20 ms longer than the one before. ``fail``
 makes it end as failed after that time; with ``hang`` or ``last`` it makes no
-progress. The current time is an argument; the worker's own clock starts at 0
+progress, and with ``serve`` it is at work and never complete. The current time is an argument; the worker's own clock starts at 0
 when the worker starts.
 """
 
@@ -32,6 +32,7 @@
 _DURATION = re.compile(r'ms=(\d+)')
 _INCREASE = re.compile(r'more=(\d+)')
 _DEFAULT_MS = 100
+_ENDLESS_PAYLOADS = ('hang', 'last', 'serve')
 
 
 @dataclass(slots=True)
@@ -62,7 +63,7 @@
 
     def complete_at_s(self) -> float:
         """Return when the run is complete, infinity if it makes no progress."""
-        if 'hang' in self.payload or 'last' in self.payload:
+        if any(word in self.payload for word in _ENDLESS_PAYLOADS):
             return math.inf
         return self.started_s + self.duration_ms / _MS_PER_S
 
@@ -225,6 +226,8 @@
         self.lease_end_ms = max(self.lease_end_ms, allowed_ms)
 
     def _progress_percent(self, run: _Run, now_s: float) -> float:
+        if 'serve' in run.payload:
+            return _FULL_PERCENT
         if run.complete_at_s() == math.inf:
             return 0
         passed_ms = (now_s - run.started_s) * _MS_PER_S
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -81,8 +81,7 @@
         service=SERVICE,
         payload=payload,
         steps=steps or (step(),),
-        accepted_at_ms=0,
-        **fields,
+        **{'accepted_at_ms': 0, **fields},
     )
 
 
