Let each play of the soak report, and evacuate data centres in it

An error ended the program before its report, and the folder with the logs was removed. Such a play now prints its error, keeps the logs and ends with status 2. test_end_without_result fails before, as the error is raised.

The soak learns the fault 'data centre evacuated': half of the workers get no runs for a while.

--- a/standins/platform_endpoints.py
+++ b/standins/platform_endpoints.py
@@ -88,6 +88,11 @@
         self.answers_to_lose += fault.get('answers_to_lose', 0)
         if fault.get('compact'):
             self.state.compact()
+        for field_name, body in (('evacuate', b'{}'), ('take_back', None)):
+            data_centre = fault.get(field_name)
+            if data_centre is not None:
+                key = f'op/evacuate/{data_centre}'
+                self.state.apply([Write(key, body)])
         return json_reply({})
 
     def _answer_read(
--- a/standins/platform_process.py
+++ b/standins/platform_process.py
@@ -26,6 +26,9 @@
 # The environment variable with the path of an entry's settings file.
 SETTINGS_VARIABLE = 'MARJORAMWHARF_BOOT'
 
+# The data centres of the workers, in turn.
+DATA_CENTRES = ('ruse', 'plovdiv')
+
 _SERVICE = 'presses'
 
 _ODD_PORT = 99_999
@@ -82,12 +85,12 @@
     return json.dumps(body).encode()
 
 
-def worker_listing(port: int, rack: str) -> bytes:
+def worker_listing(port: int, rack: str, data_centre: str = 'ruse') -> bytes:
     """Return the listing that a worker writes of itself into the store."""
     body = {
         'Service': _SERVICE,
         'Address': f'{HOST}:{port}',
-        'Zone': 'ruse',
+        'Zone': data_centre,
         'State': 'ready',
         'Slots': 8,
         'Capacity': {'Cpu': 32_000, 'MemMb': 128_000, 'Gpu': 0},
@@ -129,8 +132,11 @@
             endpoint = WorkerEndpoint(SimulatedWorker(trio.current_time()))
             listener = await open_listener(HOST, port + number)
             nursery.start_soon(HttpServer(endpoint.handle).serve, listener)
-            rack = 'r1' if number % 2 else 'r2'
-            listing = worker_listing(port + number + listed_offset, rack)
+            listing = worker_listing(
+                port + number + listed_offset,
+                'r1' if number % 2 else 'r2',
+                DATA_CENTRES[number % 2],
+            )
             store.state.apply([Write(f'servers/w{number}', listing)])
         listener = await open_listener(HOST, port)
         nursery.start_soon(HttpServer(store.handle).serve, listener)
--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -183,10 +183,19 @@
 class SoakTests(unittest.TestCase):
     """Guards against faults that only real processes show."""
 
+    def test_end_without_result(self) -> None:
+        """Guards against a play that ends without a word."""
+        with tempfile.TemporaryDirectory() as folder:
+            logs = pathlib.Path(folder)
+            report = trio.run(run_soak, 1, 1, logs, ('no such fault',))
+            self.assertTrue(tuple(logs.glob('soak-1/*')))
+        self.assertIn('no result', report.summary())
+
     def test_short_soak(self) -> None:
         """Guards against a broken promise under a few overlapping faults."""
         with tempfile.TemporaryDirectory() as folder:
             report = trio.run(run_soak, 1, 5, pathlib.Path(folder))
+        self.assertIsNone(report.failure)
         self.assertFalse(report.violations)
         self.assertTrue(report.accepted_count)
         self.assertTrue(report.runs)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -7,7 +7,7 @@
 Three entries and the stand-in platform run as processes, joined by links that
 can be harmed. Callers submit jobs meanwhile. After the faults everything is
 healed, and all accepted jobs have to end. The exit status is 1 if a promise was
-broken; the logs are kept then.
+broken and 2 if a play ended without a result; the logs are kept then.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 import argparse
 import pathlib
 import sys
+import traceback
 from collections.abc import Sequence
 
 import trio
@@ -45,9 +46,12 @@
 def _play(
     seed: int, duration_s: float, logs: pathlib.Path, kinds: Sequence[str]
 ) -> int:
-    """Play one seed; returns 1 if a promise was broken."""
+    """Play one seed; returns 1 if a promise was broken, 2 without result."""
     report = trio.run(run_soak, seed, duration_s, logs, kinds)
-    print(report.summary())
+    print(report.summary(), flush=True)
+    if report.failure is not None:
+        traceback.print_exception(report.failure)
+        return 2
     for violation in report.violations:
         print(f'  {violation}')
     return 1 if report.violations else 0
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from standins.platform_process import DATA_CENTRES
 from tools.processes import Process
 from tools.soak.fleet import ENTRIES_COUNT, WORKERS_COUNT, SoakFleet
 from tools.soak.link import Link, LinkMode
@@ -127,6 +128,13 @@
     await fleet.control_store(compact=True)
 
 
+async def _evacuate(fleet: SoakFleet, fault: Fault) -> None:
+    data_centre = DATA_CENTRES[fault.target % len(DATA_CENTRES)]
+    await fleet.control_store(evacuate=data_centre)
+    await trio.sleep(fault.duration_s)
+    await fleet.control_store(take_back=data_centre)
+
+
 async def _restart_worker(fleet: SoakFleet, fault: Fault) -> None:
     await fleet.control_worker(fault.target % WORKERS_COUNT, restart=True)
 
@@ -183,8 +191,9 @@
     'link delayed': _link_fault(LinkMode.OPEN, delay_s=_DELAY_S),
     'link reset': _reset_link,
     'link refuses': _refuse_link,
+    'data centre evacuated': _evacuate,
 }
 ALL_KINDS = tuple(FAULTS)
 
 # A seed stands for the same faults only together with the kinds to choose from.
-FIRST_KINDS = ALL_KINDS[:-1]
+FIRST_KINDS = ALL_KINDS[:-2]
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -33,12 +33,15 @@
     accepted_count: int = 0
     runs: list[Run] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    failure: Exception | None = None  # ended the soak before its checks
 
     def summary(self) -> str:
         """Return one line for people."""
+        begin = f'seed {self.seed}: {self.faults.total()} faults, '
+        if self.failure is not None:
+            return f'{begin}no result: {self.failure!r}'
         return (
-            f'seed {self.seed}: {self.faults.total()} faults, '
-            f'{self.accepted_count} of {self.jobs_count} jobs accepted, '
+            f'{begin}{self.accepted_count} of {self.jobs_count} jobs accepted, '
             f'{len(self.runs)} runs, {len(self.violations)} violations'
         )
 
@@ -49,7 +52,11 @@
     logs: pathlib.Path,
     kinds: Sequence[str] = faults.ALL_KINDS,
 ) -> SoakReport:
-    """Play a soak; keeps the logs below ``logs`` if a promise was broken."""
+    """Play a soak.
+
+    Keeps the logs below ``logs`` if a promise was broken, or if the soak ended
+    without a result.
+    """
     report = SoakReport(seed)
     with ExitStack() as stack:
         folder = pathlib.Path(
@@ -57,10 +64,12 @@
         )
         fleet = SoakFleet(folder)
         fleet.start(stack)
-        await _play(
-            fleet, report, faults.make_plan(seed, duration_s, kinds), duration_s
-        )
-        if report.violations:
+        plan = faults.make_plan(seed, duration_s, kinds)
+        try:
+            await _play(fleet, report, plan, duration_s)
+        except Exception as failure:
+            report.failure = failure
+        if report.violations or report.failure is not None:
             kept = logs / f'soak-{seed}'
             shutil.rmtree(kept, ignore_errors=True)
             shutil.copytree(folder, kept)
