Bound the memory of short work, and simplify the budget of preemption

Found by reading the diff: arrivals of short work were forgotten only when a lasting task waited, so on a deployment without any they would be kept for good. They are forgotten at each new arrival now; test_memory failed before (300 kept, 20 allowed).

--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -89,7 +89,8 @@
     be gone from ``leaves_at_s`` on. While the worker ``is_filling_paused``, its
     filling runs may be slowed or paused and none is added. ``headrooms``, their
     key and ``harms`` (by the image and the millicores of a task) are a cache of
-    :mod:`scheduling.headroom`, which a new ``version`` invalidates. Times in
+    :mod:`scheduling.headroom`, which a new ``version`` invalidates. ``speed`` is
+    compared with that of other workers by the runs that ended there. Times in
     seconds are those of the boot clock.
     """
 
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -71,7 +71,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Planner:
-    """Places the ready tasks of a job table on the workers of a fleet."""
+    """Places the ready tasks of a job table on the workers of a fleet.
+
+    ``shortages`` are the urgent tasks that found no room in the latest pass.
+    """
 
     job_table: JobTable
     fleet: Fleet
--- a/src/marjoramwharf/scheduling/preemption.py
+++ b/src/marjoramwharf/scheduling/preemption.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -26,7 +25,7 @@
 _MANY_TASKS_COUNT = 8
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Shortage:
     """Urgent short tasks that found no room in the latest pass of the planner.
 
@@ -43,19 +42,17 @@
 class _Budget:
     """Tasks of each lasting step that may still be made unavailable."""
 
-    left: Counter[int] = field(default_factory=Counter)
-    _known: set[int] = field(default_factory=set)
+    _left: dict[int, int] = field(default_factory=dict)
 
     def take(self, step: Step) -> bool:
         """Use up one task of a step's budget; return whether there was one."""
         key = id(step)
-        if key not in self._known:
-            self._known.add(key)
+        if key not in self._left:
             away_count = sum(not _is_at_work(task.runs) for task in step.tasks)
-            self.left[key] = max(0, _allowed_count(step.request) - away_count)
-        if not self.left[key]:
+            self._left[key] = _allowed_count(step.request) - away_count
+        if self._left[key] <= 0:
             return False
-        self.left[key] -= 1
+        self._left[key] -= 1
         return True
 
 
--- a/src/marjoramwharf/scheduling/short_work.py
+++ b/src/marjoramwharf/scheduling/short_work.py
@@ -43,8 +43,16 @@
 
     _arrivals: deque[_Arrival] = field(default_factory=deque)
 
+    def __len__(self) -> int:
+        """Return the number of arrivals that are kept."""
+        return len(self._arrivals)
+
     def record_job(self, request: JobRequest) -> None:
-        """Add the steps of a job, as of the time of its acceptance."""
+        """Add the steps of a job, as of the time of its acceptance.
+
+        Arrivals that are too old by then are forgotten.
+        """
+        self._forget_before(request.accepted_at_ms - _WINDOW_MS)
         for step in request.steps:
             if step.cpu_millicores and not (step.is_lasting or step.fills):
                 self._arrivals.append(
@@ -96,6 +104,6 @@
         return sizes[len(sizes) * 3 // 4]
 
     def _forget_before(self, at_ms: int) -> None:
-        self._arrivals = deque(
-            arrival for arrival in self._arrivals if arrival.at_ms >= at_ms
-        )
+        """Forget the oldest arrivals; they come nearly in order of time."""
+        while self._arrivals and self._arrivals[0].at_ms < at_ms:
+            self._arrivals.popleft()
--- a/tests/scheduling/test_preemption.py
+++ b/tests/scheduling/test_preemption.py
@@ -102,6 +102,15 @@
         self.assertFalse(self._plan(12))
         self.assertTrue(self._plan(13.5)[0].step.is_lasting)
 
+    def test_memory(self) -> None:
+        """Guards against arrivals that are kept for good."""
+        for number in range(300):
+            name = f'short{number}'
+            add_job(self.job_table, name, _SHORT, accepted_at_ms=number * 1_000)
+        held = self.job_table.short_work.held_millicores(299_000)
+        self.assertEqual(11 * 1_600 + 16_000, held)
+        self.assertLess(len(self.job_table.short_work), 20)
+
     def test_whole_pieces(self) -> None:
         """Guards against small tasks that break up the last large piece."""
         jobs = self._fill(may_miss=1)
