--- a/src/marjoramwharf/platform/job_bodies.py
+++ b/src/marjoramwharf/platform/job_bodies.py
@@ -11,15 +11,13 @@
 from marjoramwharf.ids import JobId
 from marjoramwharf.json_bodies import SignedAmount, decode_json
 from marjoramwharf.scheduling.accepted_policy import accepted_policy
+from marjoramwharf.scheduling.job_table import MAX_OPEN_TASKS_COUNT
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 
 _MAX_TASKS = 5_000
 _MAX_STEPS = 64
 
-# Protects the memory of the owner, which holds each task of an open job.
-_MAX_TASKS_OF_JOB = 20_000
-
 _MAX_SIZE = 2_000_000_000
 _Size = Annotated[int, Meta(ge=0, le=_MAX_SIZE)]
 
@@ -111,8 +109,8 @@
             raise BadJob(
                 message=f'step {number}: After must name earlier steps'
             )
-    if sum(step.count for step in job.steps) > _MAX_TASKS_OF_JOB:
-        raise BadJob(message=f'more than {_MAX_TASKS_OF_JOB} tasks')
+    if sum(step.count for step in job.steps) > MAX_OPEN_TASKS_COUNT:
+        raise BadJob(message=f'more than {MAX_OPEN_TASKS_COUNT} tasks')
 
 
 def encode_state(state: PublicJobState) -> bytes:
--- a/src/marjoramwharf/programs/entry.py
+++ b/src/marjoramwharf/programs/entry.py
@@ -8,7 +8,6 @@
 
 import pathlib
 import random
-import signal
 import sys
 import time
 from dataclasses import dataclass
@@ -54,6 +53,7 @@
     ServicePath,
     ServicePathDependencies,
 )
+from marjoramwharf.programs._stop_signals import wait_for_stop
 from marjoramwharf.programs._web import WebDependencies, build_app
 from marjoramwharf.service.drain import DrainGate
 from marjoramwharf.service.http_api import (
@@ -360,9 +360,8 @@
 
 
 async def _stop_on_signal(gate: DrainGate) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(signals)
-        gate.request_shutdown()
+    await wait_for_stop()
+    gate.request_shutdown()
 
 
 def _build_capacity_ownership(
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 from dataclasses import dataclass, field
 from functools import partial
@@ -62,6 +61,7 @@
     decode_listing,
 )
 from marjoramwharf.programs._cell_metrics import CellMetrics
+from marjoramwharf.programs._stop_signals import wait_for_stop
 
 _LOG = part_logger('main')
 _CELL = CellId(0)
@@ -230,7 +230,8 @@
                 data_centre=settings.data_centre,
                 cpu_share=settings.cpu_share,
             )
-            await self._wait_for_stop()
+            await wait_for_stop()
+            await self._stop()
             nursery.cancel_scope.cancel()
         _LOG.info('stopped', entry=settings.entry_id)
 
@@ -352,21 +353,6 @@
             return
         nursery.start_soon(HttpServer(metrics.handle).serve, listener)
 
-    async def _wait_for_stop(self) -> None:
-        with trio.open_signal_receiver(
-            signal.SIGTERM,
-            signal.SIGINT,
-            signal.SIGHUP,
-        ) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    _LOG.info(
-                        'settings change ignored', effect='none until restart'
-                    )
-                    continue
-                break
-        await self._stop()
-
     async def _stop(self) -> None:
         """Hand the cell over, then finish the requests that are in flight."""
         _LOG.info('stopping', entry=self.settings.entry_id)
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -27,8 +27,8 @@
 # tolerance that callers of scheduled jobs are promised.
 _EARLY_START_MS = 0
 
-# Bounds the memory of a job whose occurrences are due faster than they end.
-_MAX_OPEN_TASKS_COUNT = 20_000
+# Bounds the memory of a job, whose owner holds each of its open tasks.
+MAX_OPEN_TASKS_COUNT = 20_000
 
 _FULL_PERCENT = 100
 _MIN_RUN_S = 0.01
@@ -336,7 +336,7 @@
 def _may_add_occurrence(job: Job) -> bool:
     """Whether the open tasks of a job leave room for another occurrence."""
     open_count = len(job.occurrences) * job.request.tasks_count
-    return open_count < _MAX_OPEN_TASKS_COUNT
+    return open_count < MAX_OPEN_TASKS_COUNT
 
 
 def job_of(task: Task) -> Job:
