--- a/tests/cells/test_withdrawn_queue.py
+++ b/tests/cells/test_withdrawn_queue.py
@@ -59,6 +59,13 @@
             with self.subTest(max_attempts=max_attempts):
                 run_with_clock(partial(self._attempts, max_attempts))
 
+    def test_returned_queue(self) -> None:
+        """Guards against a policy that outlives the operators' next one.
+
+        The queue returns with more attempts before the last one has failed.
+        """
+        run_with_clock(self._returned_queue)
+
     def test_policy_is_stored(self) -> None:
         """Guards against a policy that a new owner can't restore."""
         stored = decode(encode(_accept(_POLICY)), JobRequest, key='x')
@@ -72,6 +79,21 @@
         shorter = msgpack.encode(fields[:-1])
         self.assertEqual(older, decode(shorter, JobRequest, key='x'))
 
+    async def _returned_queue(self) -> None:
+        queue = replace(_POLICY, max_attempts=3, advice=None)
+        async with open_cluster() as (cluster, nursery):
+            cluster.configuration = Configuration(1, {QUEUE: queue})
+            cluster.spawn(nursery, 'e1')
+            request = _accept(queue)
+            await cluster.submit(request)
+            await cluster.wait_until(lambda: bool(cluster.starts()))
+            cluster.configuration = Configuration(2, {})
+            await cluster.wait_until(lambda: cluster.starts().total() > 1)
+            more = replace(queue, max_attempts=5)
+            cluster.configuration = Configuration(3, {QUEUE: more})
+            await cluster.wait_until(lambda: _has_failed(cluster, request))
+            self.assertEqual(5, cluster.starts().total())
+
     async def _attempts(self, max_attempts: int) -> None:
         queue = replace(_POLICY, max_attempts=max_attempts, advice=None)
         async with open_cluster() as (cluster, nursery):
