Bound the time that room for urgent work takes in large fleets

Cause: each waiting lasting step scanned all workers for the room held back, and each pass with a shortage scanned all runs of the fleet for each step that found no room, so the owner's passes took seconds after an outage.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -26,10 +26,10 @@
 from marjoramwharf.cells.link_context import LinkContext
 from marjoramwharf.cells.model_saver import ModelSaver
 from marjoramwharf.cells.plan_loop import PlanLoop
+from marjoramwharf.cells.preemptor import Preemptor
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.records import inbox_prefix
 from marjoramwharf.cells.run_mover import RunMover
-from marjoramwharf.cells.worker_clock import MIN_CLOCK_RATE
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.ids import JobId, TaskId, WorkerId
 from marjoramwharf.isolation import run_isolated, run_restarted
@@ -141,12 +141,11 @@
             self._model,
             self._ticket_cache.tickets,
         )
-        self._run_mover = RunMover(
-            worker_registry=self.worker_registry,
-            planner=planner,
-            queue_of=self._queue_of,
-            counters=context.counters,
-            on_planned=self._progress_writer.wake,
+        preemptor = Preemptor(
+            planner,
+            self._queue_of,
+            self.worker_registry.stop,
+            context.counters,
         )
         self._plan_loop = PlanLoop(
             planner=planner,
@@ -155,7 +154,14 @@
             signal=self._plan_signal,
             may_plan=self._may_plan,
             on_planned=self._progress_writer.wake,
-            preempt=lambda: self._run_mover.preempt(now_s=boot_s()),
+            preempt=lambda: preemptor.preempt(now_s=boot_s()),
+        )
+        self._run_mover = RunMover(
+            worker_registry=self.worker_registry,
+            planner=planner,
+            queue_of=self._queue_of,
+            counters=context.counters,
+            on_planned=self._progress_writer.wake,
         )
 
     async def run(self) -> None:
@@ -370,8 +376,9 @@
         leases until its own right to do so ended. After the longest lease from
         then on, by the slowest clock, they can't be at work.
         """
-        lease_s = self.context.hold_ms / _MS_PER_S / MIN_CLOCK_RATE
-        lapsed_s = self.ownership.former_owner_until_s + lease_s
+        lapsed_s = (
+            self.ownership.former_owner_until_s + self.context.longest_lease_s
+        )
         if boot_s() < lapsed_s + _FORMER_LEASE_MARGIN_S:
             return
         for run in tuple(self.job_table.live_runs()):
--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -10,12 +10,15 @@
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.instance_settings import Bounds
 from marjoramwharf.cells.records import CellId
+from marjoramwharf.cells.worker_clock import MIN_CLOCK_RATE
 from marjoramwharf.cells.worker_messages import WorkerClient
 from marjoramwharf.cells.worker_registry import ListingDecoder
 from marjoramwharf.ids import DataCentreId
 from marjoramwharf.links.store import Guard, PollingStore
 from marjoramwharf.scheduling.policy import Configuration
 
+_MS_PER_S = 1_000
+
 ConfigurationSource = Callable[[], Configuration | None]
 
 
@@ -40,6 +43,11 @@
     advice_client: AdviceClient | None = None
     evacuated: AbstractSet[DataCentreId] = frozenset()
 
+    @property
+    def longest_lease_s(self) -> float:
+        """The longest time that a lease lasts, by the slowest clock."""
+        return self.hold_ms / _MS_PER_S / MIN_CLOCK_RATE
+
 
 @dataclass(frozen=True, slots=True)
 class CellOwnership:
--- a/src/marjoramwharf/cells/run_mover.py
+++ b/src/marjoramwharf/cells/run_mover.py
@@ -1,4 +1,4 @@
-"""Moves runs off workers that leave, hang or are slow, and preempts runs."""
+"""Moves runs away from workers that leave or on which runs hang or are slow."""
 
 from __future__ import annotations
 
@@ -13,7 +13,6 @@
 from marjoramwharf.scheduling.job_state import Run
 from marjoramwharf.scheduling.planner import Planner
 from marjoramwharf.scheduling.policy import QueuePolicy
-from marjoramwharf.scheduling.preemption import choose_victims
 from marjoramwharf.scheduling.run_moves import (
     MoveReason,
     RunMove,
@@ -48,28 +47,6 @@
             for move in tuple(find_run_moves(worker, now_s=now_s)):
                 self._move_run(move, worker, pool)
 
-    def preempt(self, *, now_s: float) -> None:
-        """Stop lasting runs for urgent tasks that found no room."""
-        shortages = self.planner.shortages
-        if not shortages:
-            return
-        victims = choose_victims(
-            shortages,
-            self.worker_registry.fleet,
-            priority_of=lambda run: self.queue_of(run).priority,
-            now_s=now_s,
-        )
-        for run in victims:
-            _LOG.info(
-                'run preempted',
-                task=run.task.name,
-                run=run.number,
-                worker=run.worker_id,
-                waiting=sum(shortage.tasks_count for shortage in shortages),
-            )
-            self.counters.preempted_runs_count += 1
-            self.worker_registry.stop(run)
-
     def _move_run(
         self, move: RunMove, worker: Worker, pool: CandidatePool
     ) -> None:
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -37,6 +37,7 @@
 )
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.preemption import Shortage
+from marjoramwharf.scheduling.short_work import LastingRoom
 from marjoramwharf.scheduling.unplaceable_steps import UnplaceableSteps
 
 # Largest harm (see scheduling.headroom) at which a filling task starts: hardly
@@ -97,6 +98,7 @@
         unplaceable = UnplaceableSteps()
         pool = CandidatePool(self.fleet, now_s)
         mean_millicores = self._mean_serving_millicores()
+        room = LastingRoom(self.job_table.short_work, now_ms)
         for rank, group in self._ranked_groups(queues, now_s, now_ms):
             first = group[0]
             service = queue_of(first, queues).service
@@ -109,7 +111,7 @@
             )
             try:
                 plan = self._plan_group(
-                    self._within_room(group, rank, usable, now_ms),
+                    _within_room(group, rank, room, service, usable),
                     service,
                     rank,
                     unplaceable,
@@ -155,30 +157,6 @@
         ranked.sort(key=itemgetter(0))
         return ranked
 
-    def _within_room(
-        self,
-        group: list[Task],
-        rank: Rank,
-        candidates: Sequence[Candidate],
-        now_ms: int,
-    ) -> list[Task]:
-        """Return the lasting tasks that leave the room held for short ones.
-
-        A gang starts as a whole or not at all. All tasks of other steps, and
-        lasting ones that are overdue, may use any room.
-        """
-        step = group[0].step.request
-        if rank.tier is not Tier.LASTING or not step.cpu_millicores:
-            return group
-        room = self.job_table.short_work.room_millicores(
-            [candidate.worker for candidate in candidates], now_ms
-        )
-        fitting = max(0, room / step.cpu_millicores)
-        count = math.floor(min(len(group), fitting))
-        if step.is_gang and count < len(group):
-            return []
-        return group[:count]
-
     def _record_shortage(
         self,
         group: Sequence[Task],
@@ -363,6 +341,28 @@
     return _HARM_WITH_MUCH_SLACK + max(0, excess_harm)
 
 
+def _within_room(
+    group: list[Task],
+    rank: Rank,
+    room: LastingRoom,
+    service: str,
+    candidates: Sequence[Candidate],
+) -> list[Task]:
+    """Return the tasks of a step that leave the room held for short ones.
+
+    All tasks of short steps, and lasting ones that are overdue, may use any.
+    """
+    if rank.tier is not Tier.LASTING:
+        return group
+    count = room.take(
+        group[0].step.request,
+        len(group),
+        service,
+        lambda: (candidate.worker for candidate in candidates),
+    )
+    return group[:count]
+
+
 def _workers_of_one_rack(
     step: Step, candidates: Sequence[Candidate]
 ) -> list[Candidate]:
--- a/src/marjoramwharf/scheduling/preemption.py
+++ b/src/marjoramwharf/scheduling/preemption.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from marjoramwharf.scheduling.candidates import Candidate
-from marjoramwharf.scheduling.fleet import Fleet, Worker
+from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.job_state import Run, RunPhase, Step
 from marjoramwharf.scheduling.workload import StepRequest
 
@@ -24,6 +24,11 @@
 # A step with at least this many tasks has many.
 _MANY_TASKS_COUNT = 8
 
+# Bounds the time of a search, which comes with each shortage.
+_MAX_SHORTAGES_COUNT = 8
+_SAMPLE_SIZE = 256
+_SAMPLES_PER_S = 5
+
 
 @dataclass(frozen=True, slots=True)
 class Shortage:
@@ -58,24 +63,27 @@
 
 def choose_victims(
     shortages: Sequence[Shortage],
-    fleet: Fleet,
+    freeing_millicores: int,
     *,
     priority_of: Callable[[Run], int],
     now_s: float,
 ) -> list[Run]:
-    """Return the lasting runs to stop for the shortages, in their order.
+    """Return the lasting runs to stop for the most urgent shortages.
 
-    Room that stopped runs are about to free counts, so that two passes don't
+    Room that stopped runs are about to free counts, so that two calls don't
     stop runs for the same task. Work of a queue that goes before that of the
-    short tasks is left alone.
+    short tasks is left alone. In a large fleet a sample of the workers is
+    searched, another one at another time.
     """
-    freeing = _freeing_millicores(fleet)
+    freeing = freeing_millicores
     budget = _Budget()
     victims: dict[Worker, Run] = {}
-    for shortage in shortages:
+    for shortage in shortages[:_MAX_SHORTAGES_COUNT]:
         needed = shortage.tasks_count * shortage.request.cpu_millicores
         missing = max(0, needed - freeing)
         freeing = max(0, freeing - needed)
+        if not missing:
+            continue
         for worker, run in _victims_for(shortage, priority_of, now_s):
             is_free = worker not in victims
             if missing > 0 and is_free and budget.take(run.task.step):
@@ -84,32 +92,29 @@
     return list(victims.values())
 
 
-def _freeing_millicores(fleet: Fleet) -> int:
-    """Return the CPU of lasting runs that are being stopped."""
-    return sum(
-        run.step.cpu_millicores
-        for worker in fleet.workers.values()
-        for run in worker.runs
-        if run.step.is_lasting and run.phase is RunPhase.STOPPING
-    )
-
-
 def _victims_for(
     shortage: Shortage, priority_of: Callable[[Run], int], now_s: float
 ) -> list[tuple[Worker, Run]]:
     """Return the runs whose room would fit a task, cheapest first."""
     found = [
-        (candidate.worker, run)
-        for candidate in shortage.candidates
-        for run in candidate.worker.runs
+        (worker, run)
+        for worker in _sample(shortage.candidates, now_s)
+        for run in worker.runs
         if _may_be_stopped(run, now_s)
         and priority_of(run) >= shortage.priority
-        and _gain_millicores(shortage.request, candidate.worker, run)
+        and _gain_millicores(shortage.request, worker, run)
     ]
     found.sort(key=lambda victim: _cost(shortage.request, *victim))
     return found
 
 
+def _sample(candidates: Sequence[Candidate], now_s: float) -> Iterator[Worker]:
+    """Return the workers of a part of the candidates that moves with time."""
+    first = int(now_s * _SAMPLES_PER_S) * _SAMPLE_SIZE
+    for number in range(min(len(candidates), _SAMPLE_SIZE)):
+        yield candidates[(first + number) % len(candidates)].worker
+
+
 def _allowed_count(request: StepRequest) -> int:
     """Return how many lasting tasks of a step may be away at a time.
 
--- a/src/marjoramwharf/scheduling/short_work.py
+++ b/src/marjoramwharf/scheduling/short_work.py
@@ -17,16 +17,18 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from marjoramwharf.scheduling.fleet import Worker
-from marjoramwharf.scheduling.workload import JobRequest
+from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 
 # Arrivals of this long count: long enough for several waves of callers.
 _WINDOW_MS = 10_000
 
+_Workers = Callable[[], Iterable[Worker]]
+
 
 class _Arrival(NamedTuple):
     """A short step that arrived, with its size in millicores."""
@@ -76,29 +78,7 @@
         widest = max(arrival.step_millicores for arrival in self._arrivals)
         return work / _WINDOW_MS + widest
 
-    def room_millicores(self, workers: Sequence[Worker], now_ms: int) -> float:
-        """Return the CPU that lasting tasks may take without harm to others.
-
-        What short tasks use now counts as held for them already. Only pieces
-        that most recent tasks fit in count as free.
-        """
-        held = self.held_millicores(now_ms)
-        if not held:
-            return math.inf
-        piece = self._piece_millicores()
-        free = sum(
-            (worker.capacity.cpu_millicores - worker.reserved_millicores)
-            // piece
-            * piece
-            for worker in workers
-        )
-        in_use = sum(
-            worker.reserved_millicores - worker.serving_millicores
-            for worker in workers
-        )
-        return free + in_use - held
-
-    def _piece_millicores(self) -> int:
+    def piece_millicores(self) -> int:
         """Return the CPU that three of four recent tasks fit in."""
         sizes = sorted(arrival.task_millicores for arrival in self._arrivals)
         return sizes[len(sizes) * 3 // 4]
@@ -107,3 +87,50 @@
         """Forget the oldest arrivals; they come nearly in order of time."""
         while self._arrivals and self._arrivals[0].at_ms < at_ms:
             self._arrivals.popleft()
+
+
+@dataclass(slots=True)
+class LastingRoom:
+    """The CPU that lasting tasks may take in one pass of the planner.
+
+    It is worked out once for each service, since a scan of all workers for
+    each waiting step would take seconds in a large fleet after an outage.
+    """
+
+    demand: ShortWorkDemand
+    now_ms: int
+    _left_millicores: dict[str, float] = field(default_factory=dict)
+
+    def take(
+        self, step: StepRequest, count: int, service: str, workers: _Workers
+    ) -> int:
+        """Take the room of tasks of a step; returns how many of them fit.
+
+        A gang fits as a whole or not at all.
+        """
+        left = self._left_millicores.get(service)
+        if left is None:
+            left = self._measure(workers())
+        fitting = max(0, left / max(1, step.cpu_millicores))
+        taken = math.floor(min(count, fitting))
+        if step.is_gang and taken < count:
+            taken = 0
+        self._left_millicores[service] = left - taken * step.cpu_millicores
+        return taken
+
+    def _measure(self, workers: Iterable[Worker]) -> float:
+        """Return the room on these workers.
+
+        What short tasks use now counts as held for them already. Only pieces
+        that most recent tasks fit in count as free.
+        """
+        held = self.demand.held_millicores(self.now_ms)
+        if not held:
+            return math.inf
+        piece = self.demand.piece_millicores()
+        room = -held
+        for worker in workers:
+            free = worker.capacity.cpu_millicores - worker.reserved_millicores
+            room += free // piece * piece
+            room += worker.reserved_millicores - worker.serving_millicores
+        return room
--- a/tests/scheduling/test_preemption.py
+++ b/tests/scheduling/test_preemption.py
@@ -151,7 +151,7 @@
     def _victims(self, now_s: float, *, lasting_priority: int = 0) -> list[Run]:
         return choose_victims(
             self.planner.shortages,
-            self.fleet,
+            0,
             priority_of=lambda _run: lasting_priority,
             now_s=now_s,
         )
