--- a/src/marjoramwharf/scheduling/preemption.py
+++ b/src/marjoramwharf/scheduling/preemption.py
@@ -18,10 +18,11 @@
 
 _FULL_PERCENT = 100
 
-# A lasting run is at work for at least this long between two preemptions.
+# A lasting run isn't stopped sooner than this after its start.
 _MIN_WORK_S = 5.0
 
-# A step with at least this many tasks has many.
+# Where no number is stated, one task of a step of at least this many may be
+# away.
 _MANY_TASKS_COUNT = 8
 
 # Bounds the stops of a call: each costs an order, two writes and a start.
--- a/src/marjoramwharf/scheduling/short_work.py
+++ b/src/marjoramwharf/scheduling/short_work.py
@@ -6,9 +6,9 @@
 its life; a short job that finds no room is late.
 
     >>> demand = ShortWorkDemand()
-    >>> demand.record(
-    ...     StepRequest(4, cpu_millicores=2_000, estimate_ms=1_000), 0
-    ... )
+    >>> step = StepRequest(4, cpu_millicores=2_000, estimate_ms=1_000)
+    >>> job = JobRequest('j', 'q', 's', '', (step,), accepted_at_ms=0)
+    >>> demand.record_job(job)
     >>> demand.held_millicores(now_ms=1_000)
     8800.0
 """
@@ -24,7 +24,7 @@
 from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 
-# Arrivals of this long count: long enough for several waves of callers.
+# Arrivals count for this long.
 _WINDOW_MS = 10_000
 
 _Workers = Callable[[], Iterable[Worker]]
