Log which incarnation, clock and lease an order and a report belong to

They named neither the incarnation and the clock of a worker at the first poll of an owner nor the end of the lease that was taken for lapsed, and nothing showed that a start had been answered by another clock than its lease was meant for.

Change: `worker first polled`, `leases lapsed`, `end of unknown run` and `answer of another clock` are new; `worker restarted` and `stopping unknown run` name start times, clocks, lease ends and numbers of runs. The lines stand in cells/link_log.py. No decision changes.

With `waited_s` fixed at 0, and without the counter and the line, one of the new tests fails each.

--- a/src/marjoramwharf/cells/counters.py
+++ b/src/marjoramwharf/cells/counters.py
@@ -24,7 +24,8 @@
 class CellCounters:
     """Totals since the process started, and samples since the last scrape.
 
-    ``wait_samples_s`` are the times from a task's readiness to its start,
+    ``other_clock_answers_count`` is the number of answers to start orders that
+    the clock of the order's lease can't have given. ``wait_samples_s`` are the times from a task's readiness to its start,
     ``write_samples_s`` the durations of group commits, and
     ``answer_samples_s`` the times from a caller's request to the answer.
     """
@@ -35,6 +36,7 @@
     finished_jobs: Counter[JobPhase] = field(default_factory=Counter)
     tenures_count: int = 0
     pace_orders_count: int = 0
+    other_clock_answers_count: int = 0
     moved_runs_count: int = 0
     preempted_runs_count: int = 0
     written_bytes: int = 0
--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -14,6 +14,12 @@
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.end_acknowledgements import EndAcknowledgements
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
+from marjoramwharf.cells.link_log import (
+    log_first_poll,
+    log_restart,
+    log_unknown_end,
+    log_unknown_run,
+)
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_messages import (
     EndReport,
@@ -69,7 +75,9 @@
         self._process_ends(report)
         self.acknowledgements.acknowledge_stored()
         for run_report in report.running:
-            self._process_running(run_report, made_s, now_s, nursery)
+            self._process_running(
+                run_report, report.clock_ms, made_s, now_s, nursery
+            )
         if report.has_all_ends:
             for run in self._unlisted_runs(report):
                 self._process_missing_run(run, sent_s)
@@ -89,17 +97,26 @@
                 now_s,
                 lease_ms=self.context.hold_ms + _FORMER_LEASE_MARGIN_MS,
             )
+            log_first_poll(
+                self.worker, report, lease_end_ms=self.clock.lease_end_ms
+            )
         elif self._is_same_incarnation(report, sent_s):
             self.clock.observe(report.clock_ms, now_s=now_s)
         else:
-            _LOG.warning(
-                'worker restarted',
-                worker=self.worker.worker_id,
-                born_ms=report.born_ms,
-            )
+            former_lease_end_ms = self.clock.lease_end_ms
             self._restart_clock(
                 report.clock_ms, now_s, lease_ms=self._late_lease_ms(now_s)
             )
+            log_restart(
+                self.worker,
+                report,
+                former_lease_end_ms=former_lease_end_ms,
+                lease_end_ms=self.clock.lease_end_ms,
+                former_runs_count=sum(
+                    run.phase is not RunPhase.PLANNED
+                    for run in self._unlisted_runs(report)
+                ),
+            )
             self.acknowledgements.restart()
             # A late order may have started a run here that has ended already.
             self._process_ends(report)
@@ -160,14 +177,15 @@
 
     def _process_ends(self, report: HoldReport) -> None:
         for ended in report.ended:
-            self._process_end(ended)
+            self._process_end(ended, report.born_ms)
 
-    def _process_end(self, ended: EndReport) -> None:
+    def _process_end(self, ended: EndReport, born_ms: int) -> None:
         """Record an end unless an earlier poll has reported it already."""
         if ended.number <= self.acknowledgements.processed_number:
             return
         run = self.owner.find_run(ended.task, ended.run)
         if run is None or run.worker_id != self.worker.worker_id:
+            log_unknown_end(self.worker.worker_id, ended, born_ms=born_ms)
             self.acknowledgements.add(ended.number, None)
             return
         job = self.owner.end_run(run, ended.how, ended.checkpoint)
@@ -176,6 +194,7 @@
     def _process_running(
         self,
         run_report: RunReport,
+        clock_ms: int,
         made_s: float,
         now_s: float,
         nursery: trio.Nursery,
@@ -183,7 +202,7 @@
         """Update a run from a report; stop one that the cell doesn't have."""
         run = self.owner.find_run(run_report.task, run_report.run)
         if run is None or run.worker_id != self.worker.worker_id:
-            self._stop_unknown_run(run_report, now_s, nursery)
+            self._stop_unknown_run(run_report, clock_ms, now_s, nursery)
             return
         if run.phase in {RunPhase.ORDERED, RunPhase.UNCERTAIN}:
             self.owner.on_run_started(run, started_s=made_s)
@@ -201,6 +220,7 @@
     def _stop_unknown_run(
         self,
         run_report: RunReport,
+        clock_ms: int,
         now_s: float,
         nursery: trio.Nursery,
     ) -> None:
@@ -214,12 +234,7 @@
         if key in self._unknown_stops_s:
             return
         self._unknown_stops_s[key] = now_s
-        _LOG.warning(
-            'stopping unknown run',
-            task=run_report.task,
-            run=run_report.run,
-            worker=self.worker.worker_id,
-        )
+        log_unknown_run(self.worker, run_report, clock_ms=clock_ms)
         nursery.start_soon(
             run_isolated,
             'stop order',
--- a/src/marjoramwharf/cells/worker_clock.py
+++ b/src/marjoramwharf/cells/worker_clock.py
@@ -20,6 +20,27 @@
 # A clock that shows this much less than it must has been restarted.
 _RESTART_THRESHOLD_MS = 1_000
 
+# How far the time in an answer may be from the estimate of its worker's clock.
+_OTHER_CLOCK_THRESHOLD_MS = 1_000
+
+
+def is_other_clock(
+    clock_ms: int, *, expected_ms: float, waited_s: float
+) -> bool:
+    """Whether an answer shows a time of another clock than was expected.
+
+    ``expected_ms`` is the estimate as of the request, and ``waited_s`` the time
+    from the request to the processing of the answer.
+
+    >>> is_other_clock(8_500, expected_ms=5_000, waited_s=3)
+    False
+    >>> is_other_clock(400, expected_ms=5_000, waited_s=3)
+    True
+    """
+    lowest_ms = expected_ms - _OTHER_CLOCK_THRESHOLD_MS
+    highest_ms = expected_ms + waited_s * _MS_PER_S + _OTHER_CLOCK_THRESHOLD_MS
+    return not lowest_ms <= clock_ms <= highest_ms
+
 
 @dataclass(slots=True)
 class WorkerClock:
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -15,6 +15,7 @@
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.end_acknowledgements import EndAcknowledgements
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
+from marjoramwharf.cells.link_log import log_dropped_runs
 from marjoramwharf.cells.report_processor import ReportProcessor
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_messages import (
@@ -193,9 +194,13 @@
             )
         self.worker.is_reachable = False
         if is_replaced or self.clock.has_lapsed(now_s=now_s):
-            self._drop_runs()
+            self._drop_runs(is_replaced=is_replaced, now_s=now_s)
 
-    def _drop_runs(self) -> None:
+    def _drop_runs(self, *, is_replaced: bool, now_s: float) -> None:
         """End the runs of a worker on which nothing can run any more."""
+        if self.worker.runs:
+            log_dropped_runs(
+                self.worker, self.clock, is_replaced=is_replaced, now_s=now_s
+            )
         for run in tuple(self.worker.runs):
             self.owner.end_run(run, RunEnd.VANISHED, run.checkpoint)
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -11,7 +11,8 @@
 
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
-from marjoramwharf.cells.worker_clock import WorkerClock
+from marjoramwharf.cells.link_log import log_other_clock
+from marjoramwharf.cells.worker_clock import WorkerClock, is_other_clock
 from marjoramwharf.cells.worker_messages import (
     OrderAnswer,
     OrderOutcome,
@@ -199,7 +200,7 @@
             checkpoint=run.task.checkpoint,
             ticket=run.ticket,
         )
-        return await _call_isolated(
+        answer = await _call_isolated(
             partial(
                 self.context.worker_client.start,
                 self.address,
@@ -207,6 +208,22 @@
                 timeout_s=_ORDER_TIMEOUT_S,
             )
         )
+        self._check_clock(order, answer, waited_s=boot_s() - now_s)
+        return answer
+
+    def _check_clock(
+        self, order: StartOrder, answer: OrderAnswer, *, waited_s: float
+    ) -> None:
+        """Log and count an answer with a time that isn't of the lease's clock."""
+        expected_ms = order.expires_ms - self.context.hold_ms
+        if answer.clock_ms is None or not is_other_clock(
+            answer.clock_ms, expected_ms=expected_ms, waited_s=waited_s
+        ):
+            return
+        self.context.counters.other_clock_answers_count += 1
+        log_other_clock(
+            self.worker.worker_id, order, answer, expected_ms=expected_ms
+        )
 
     async def _send_pace(self, order: PaceOrder) -> OrderAnswer:
         await self._take_slot(math.inf)
--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -62,6 +62,9 @@
             },
             'tenures_total': {'': counters.tenures_count},
             'pace_orders_total': {'': counters.pace_orders_count},
+            'other_clock_answers_total': {
+                '': counters.other_clock_answers_count,
+            },
             'moved_runs_total': {'': counters.moved_runs_count},
             'preempted_runs_total': {'': counters.preempted_runs_count},
             'store_commits_total': {'': counters.commits_count},
