Reproduce the runs that outlive their lease at a restarted worker

Cause as known: a call names only the worker's id, so the new incarnation carries out what an owner that hasn't noticed the restart meant for the former one. The lease in a start ends at a time of the old clock; the new clock is behind, so the worker grants its own maximum of 10 s, where the owner and its successor count with 6.5 s. An acknowledgement by the former incarnation's numbers makes the new one forget ends that it has not reported yet.

The whole suite was not run.

--- a/standins/simulated_worker.py
+++ b/standins/simulated_worker.py
@@ -3,8 +3,8 @@
 A task's payload controls the run: ``ms=150`` makes it take 150 ms, and with
 ``more=20`` each task of a step takes 20 ms longer than the one before. ``fail``
 makes it end as failed after that time; with ``hang`` or ``last`` it makes no
-progress, and with ``serve`` it is at work and never complete. The current time is an argument; the worker's own clock starts at 0
-when the worker starts.
+progress, and with ``serve`` it is at work and never complete. The current time
+is an argument; the worker's own clock starts anew when the worker starts.
 """
 
 from __future__ import annotations
@@ -76,10 +76,12 @@
     check: ``starts`` has every start that was carried out, ``start_times``
     their times, and ``acknowledged_completions`` the tasks that ended as done
     and whose end the owner acknowledged, each with the time of its end.
-    ``history`` has all runs.
+    ``history`` has all runs. The worker's own clock shows ``clock_origin_ms`` at
+    ``born_s``.
     """
 
     born_s: float
+    clock_origin_ms: int = 0
     max_hold_ms: int = 10_000
     capacity: int = 100
     fence: int = 0
@@ -98,7 +100,8 @@
 
     def clock_ms(self, now_s: float) -> int:
         """Return the time of the worker's own clock."""
-        return int((now_s - self.born_s) * _MS_PER_S)
+        age_ms = int((now_s - self.born_s) * _MS_PER_S)
+        return self.clock_origin_ms + age_ms
 
     def advance(self, now_s: float) -> None:
         """End the runs that are complete, and all if the lease has expired.
@@ -106,7 +109,8 @@
         Each ends at the time at which it was complete or its lease expired,
         which may be long before ``now_s``.
         """
-        lapsed_s = self.born_s + self.lease_end_ms / _MS_PER_S
+        lease_end_ms = self.lease_end_ms - self.clock_origin_ms
+        lapsed_s = self.born_s + lease_end_ms / _MS_PER_S
         for run in tuple(self.running.values()):
             done_s = run.complete_at_s()
             if done_s <= min(now_s, lapsed_s):
--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -41,6 +41,8 @@
     ``starts_to_delay`` starts wait in ``delayed_orders`` for a test's call. The
     next ``stops_to_drop`` stops are not carried out and get no answer. The
     answers to the next holds take ``hold_answer_delays_s`` longer than usual.
+    A hold that waits at a worker while it restarts fails at once, but gets no
+    answer until its timeout if the worker is one of ``dark_restarts``.
     Another worker listens at each of the ``foreign_hosts``. At most
     ``most_orders_in_flight`` start and stop orders were on their way to any
     worker at a time.
@@ -49,6 +51,7 @@
 
     workers: dict[WorkerId, SimulatedWorker]
     unreachable: set[WorkerId] = field(default_factory=set)
+    dark_restarts: set[WorkerId] = field(default_factory=set)
     foreign_hosts: set[str] = field(default_factory=set)
     most_orders_in_flight: int = 0
     orders_in_flight: Counter[WorkerId] = field(default_factory=Counter)
@@ -164,12 +167,14 @@
     async def _wait_for_report(
         self, worker: WorkerAddress, order: HoldOrder, timeout_s: float
     ) -> HoldReport:
-        deadline_s = trio.current_time() + order.wait_ms / _MS_PER_S
+        sent_s = trio.current_time()
+        deadline_s = sent_s + order.wait_ms / _MS_PER_S
         asked = self.workers.get(worker.worker_id)
         while True:
             if self.workers.get(worker.worker_id) is not asked:
-                # The connection ended with the incarnation.
-                return HoldReport(OrderOutcome.UNKNOWN)
+                return await self._fail_restarted(
+                    worker.worker_id, sent_s + timeout_s
+                )
             send_hold = partial(self._hold, worker.worker_id, order)
             report = await self._reach(worker.worker_id, send_hold, timeout_s)
             if report is not None and self.hold_answers_to_lose:
@@ -182,6 +187,14 @@
                 return report
             await trio.sleep(_POLL_INTERVAL_S)
 
+    async def _fail_restarted(
+        self, worker_id: WorkerId, timeout_at_s: float
+    ) -> HoldReport:
+        """End a hold whose connection ended with the incarnation."""
+        if worker_id in self.dark_restarts:
+            await trio.sleep_until(timeout_at_s)
+        return HoldReport(OrderOutcome.UNKNOWN)
+
     @contextmanager
     def _in_flight(self, worker_id: WorkerId) -> Iterator[None]:
         self.orders_in_flight[worker_id] += 1
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -170,6 +170,26 @@
         await self._store(f'servers/{name}', name.encode())
         return worker
 
+    def restart_worker(
+        self, name: str, *, is_dark: bool = False, clock_origin_ms: int = 0
+    ) -> SimulatedWorker:
+        """Replace a worker with another incarnation; return that one.
+
+        A poll under way hears nothing of a restart that ``is_dark``, as after a
+        loss of power, and waits until its timeout.
+        """
+        worker_id = WorkerId(name)
+        self.former_workers.append(self.workers[worker_id])
+        dark_restarts = self.worker_client.dark_restarts
+        dark_restarts.discard(worker_id)
+        if is_dark:
+            dark_restarts.add(worker_id)
+        worker = SimulatedWorker(
+            trio.current_time(), clock_origin_ms=clock_origin_ms
+        )
+        self.workers[worker_id] = worker
+        return worker
+
     async def submit(self, request: JobRequest) -> None:
         """Store a job request as an entry does."""
         await self._store(request_key(CELL, request.job_id), encode(request))
--- a/tests/cells/test_histories.py
+++ b/tests/cells/test_histories.py
@@ -19,7 +19,6 @@
 
 from marjoramwharf.errors import LeaseEnded
 from marjoramwharf.ids import WorkerId
-from standins.simulated_worker import SimulatedWorker
 from tests.cells.cluster import (
     Cluster,
     job_request,
@@ -52,9 +51,7 @@
 
 
 def _restart_worker(cluster: Cluster, pick: int) -> None:
-    name = WorkerId(_WORKERS[pick % len(_WORKERS)])
-    cluster.former_workers.append(cluster.workers[name])
-    cluster.workers[name] = SimulatedWorker(trio.current_time())
+    cluster.restart_worker(_WORKERS[pick % len(_WORKERS)])
 
 
 def _stop_store(cluster: Cluster, _pick: int) -> None:
--- /dev/null
+++ b/tests/cells/test_restarted_workers.py
@@ -0,0 +1,193 @@
+"""Workers that restart under their id before the owner notices it.
+
+A call names only the id, so the new incarnation carries out what was meant for
+the former one. The clocks of both show different times, and both number their
+ends from 1.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from marjoramwharf.ids import WorkerId
+from standins.simulated_worker import SimulatedWorker
+from tests.cells.cluster import (
+    CELL,
+    Candidate,
+    Cluster,
+    job_request,
+    open_cluster,
+    run_with_clock,
+    step,
+)
+
+_RESTARTED = WorkerId('w1')
+_LONG = job_request('long', payload='ms=60000')
+
+_FORMER_LIFE_S = 30
+
+# The poll that was under way at a restart times out soon after this.
+_ALMOST_NOTICED_S = 2.5
+
+_LATE_ORDER_DELAY_S = 2
+_LATE_ANSWER_DELAY_S = 0.9
+_CLOCK_LEAD_MS = 3_000
+
+
+async def _elect(cluster: Cluster, nursery: trio.Nursery) -> Candidate:
+    """Spawn an entry; return it once the worker's clock is far from 0."""
+    owner = cluster.spawn(nursery, 'e1')
+    await cluster.wait_until(lambda: owner.cell is not None)
+    await trio.sleep(_FORMER_LIFE_S)
+    return owner
+
+
+async def _finish_early_job(cluster: Cluster) -> None:
+    """Run a job of some tasks; return just after the owner's next poll."""
+    early = job_request('early', step(5), payload='ms=50')
+    await cluster.submit(early)
+    await cluster.wait_until_done(early)
+    await trio.sleep(0.1)
+
+
+async def _restart_in_the_dark(
+    cluster: Cluster, *, clock_origin_ms: int = 0
+) -> SimulatedWorker:
+    """Restart the worker while a poll, just sent, waits there."""
+    await _finish_early_job(cluster)
+    return cluster.restart_worker(
+        _RESTARTED, is_dark=True, clock_origin_ms=clock_origin_ms
+    )
+
+
+async def _start_long_task(cluster: Cluster, worker: SimulatedWorker) -> None:
+    """Start a long task at the only worker there is."""
+    await cluster.submit(_LONG)
+    await cluster.wait_until(lambda: bool(worker.running))
+
+
+async def _replace_owner(
+    cluster: Cluster, owner: Candidate, successor: Candidate
+) -> None:
+    """Kill the owner; return once the successor has taken the cell over."""
+    owner.scope.cancel()
+    successor.view.mark_owner_ended(successor.view.owners[CELL])
+    await cluster.wait_until(lambda: successor.cell is not None)
+
+
+async def _check_start_elsewhere(cluster: Cluster) -> None:
+    """Cut the worker off; its task must start elsewhere, but not too early."""
+    cluster.worker_client.unreachable.add(_RESTARTED)
+    second = await cluster.add_worker('w2')
+    await cluster.wait_until(lambda: bool(second.running))
+
+
+class RestartedWorkerTests(unittest.TestCase):
+    """Guards against tasks started twice at a worker's new incarnation."""
+
+    def test_worker_is_cut_off_before_restart_is_noticed(self) -> None:
+        """Guards against a lease that ends at a time of a former clock."""
+        run_with_clock(self._cut_off_before_restart_is_noticed)
+
+    def test_worker_is_cut_off_after_restart_is_noticed(self) -> None:
+        """Guards against forgetting that lease with the former clock."""
+        run_with_clock(self._cut_off_after_restart_is_noticed)
+
+    def test_clock_of_new_incarnation_is_ahead(self) -> None:
+        """Guards against a lease that counts as lapsed by a clock ahead."""
+        run_with_clock(self._clock_is_ahead)
+
+    def test_owner_dies_and_next_one_polls_once(self) -> None:
+        """Guards against a next owner's guess of a former owner's lease."""
+        run_with_clock(self._next_owner_polls_once)
+
+    def test_owner_dies_and_next_one_never_polls(self) -> None:
+        """Guards against a run that outlives the longest lease assumed."""
+        run_with_clock(self._next_owner_never_polls)
+
+    def test_end_is_acknowledged_for_former_incarnation(self) -> None:
+        """Guards against an end forgotten by an acknowledgement of before."""
+        run_with_clock(self._end_is_acknowledged_by_number_of_before)
+
+    async def _cut_off_before_restart_is_noticed(self) -> None:
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            worker = await _restart_in_the_dark(cluster)
+            await _start_long_task(cluster, worker)
+            await _check_start_elsewhere(cluster)
+
+    async def _cut_off_after_restart_is_noticed(self) -> None:
+        """The new incarnation answers a poll before it is cut off."""
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            worker = await _restart_in_the_dark(cluster)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            await _start_long_task(cluster, worker)
+            client = cluster.worker_client
+            polls = client.holds_count
+            await cluster.wait_until(lambda: client.holds_count > polls)
+            await _check_start_elsewhere(cluster)
+
+    async def _clock_is_ahead(self) -> None:
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            former = cluster.workers[_RESTARTED]
+            origin_ms = former.clock_ms(trio.current_time()) + _CLOCK_LEAD_MS
+            worker = await _restart_in_the_dark(
+                cluster, clock_origin_ms=origin_ms
+            )
+            await _start_long_task(cluster, worker)
+            await _check_start_elsewhere(cluster)
+
+    async def _next_owner_polls_once(self) -> None:
+        """The next owner reads the new clock, but not the run's lease."""
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            owner = await _elect(cluster, nursery)
+            successor = cluster.spawn(nursery, 'e2')
+            worker = await _restart_in_the_dark(cluster)
+            await _start_long_task(cluster, worker)
+            fence = worker.fence
+            await _replace_owner(cluster, owner, successor)
+            await cluster.wait_until(lambda: worker.fence > fence)
+            await _check_start_elsewhere(cluster)
+
+    async def _next_owner_never_polls(self) -> None:
+        """The former owner's order is carried out late, as by a slow network.
+
+        The lease in the order ends long after the latest one that the new
+        incarnation grants.
+        """
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            owner = await _elect(cluster, nursery)
+            successor = cluster.spawn(nursery, 'e2')
+            worker = await _restart_in_the_dark(cluster)
+            client = cluster.worker_client
+            client.starts_to_delay = 1
+            await cluster.submit(_LONG)
+            await cluster.wait_until(lambda: bool(client.delayed_orders))
+            client.unreachable.add(_RESTARTED)
+            await _replace_owner(cluster, owner, successor)
+            await trio.sleep(_LATE_ORDER_DELAY_S)
+            client.delayed_orders[0]()
+            self.assertTrue(worker.running)
+            await _check_start_elsewhere(cluster)
+
+    async def _end_is_acknowledged_by_number_of_before(self) -> None:
+        """The former incarnation's last answer arrives after the restart.
+
+        The poll after it acknowledges the ends of before to the new one, where
+        a run has ended meanwhile.
+        """
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            await _finish_early_job(cluster)
+            delays_s = cluster.worker_client.hold_answer_delays_s
+            delays_s.append(_LATE_ANSWER_DELAY_S)
+            await cluster.wait_until(lambda: not delays_s)
+            cluster.restart_worker(_RESTARTED)
+            late = job_request('late', payload='ms=50')
+            await cluster.submit(late)
+            await cluster.wait_until_done(late)
+            self.assertEqual([1], list(cluster.starts().values()))
