Bind each order and lease to the incarnation of the worker that it is meant for

Callers saw tasks run twice (TWICE): a worker started again under its id and was cut off soon after, and its long tasks were started elsewhere while they were still at work.

Cause: a call names only the worker's id, so the new incarnation carries out what was meant for the former one. An owner that hadn't noticed the restart sent a lease end that is a time of the former clock; the worker granted its own maximum of 10 s, while the owner and its successor counted with 6.5 s. A poll whose connection ended was also sent again by the HTTP client, with the lease and the acknowledged end of before.

Change: starts, stops, paces, leases and acknowledgements are sent only on a kept connection on which that incarnation has answered. Where none is kept, a new one is opened by a poll that grants no lease and acknowledges nothing, and which tells the incarnation. One that finds another incarnation ends the poll that still waits for the former one. A run is started only at the incarnation that it was planned for, and answers of a former one count as no answer. No hold is repeated by the HTTP client any more.

The mutants of the poll that is sent to an unknown incarnation take the place of two whose code is gone, and one is new. test_link_log's clock now goes back at the same incarnation, since no order reaches another.

--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -123,7 +123,7 @@
             for run in self._unlisted_runs(report):
                 if not _may_be_newer(run, sent_s):
                     self._end_or_stop_lost(run, now_s, nursery)
-        self.worker.born_ms = report.born_ms or self.worker.born_ms
+        self.worker.born_ms = report.born_ms
 
     def _is_same_incarnation(self, report: HoldReport, sent_s: float) -> bool:
         """Compare the start times; the clock only tells where one is unknown.
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -20,6 +20,7 @@
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_messages import (
     HoldOrder,
+    HoldReport,
     OrderOutcome,
     WorkerAddress,
 )
@@ -31,6 +32,8 @@
 
 _LOG = part_logger('worker')
 
+_MS_PER_S = 1_000
+
 # The longest time for which a worker with runs, and one without, delays its
 # answer to a poll until a run ends.
 _BUSY_WAIT_MS = 1_000
@@ -42,12 +45,21 @@
 # The answer to a poll may arrive this much after its wait is over.
 _HOLD_TIMEOUT_MARGIN_S = 1.0
 _UNREACHABLE_PAUSE_S = 0.2
+_RECONNECT_PAUSE_S = 0.02
 
 # The next poll waits up to this time until the reported ends are stored. The
 # worker reports any end that is not acknowledged by then again.
 _ACKNOWLEDGEMENT_WAIT_S = 0.4
 
 
+@dataclass(frozen=True, slots=True)
+class _FetchedReport:
+    """The report to a poll that was sent at ``sent_s``."""
+
+    report: HoldReport
+    sent_s: float
+
+
 @dataclass(slots=True, eq=False)
 class WorkerLink:
     """Polls one worker for the owner of its cell, one hold after the other.
@@ -66,6 +78,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reports: ReportProcessor = field(init=False)
     _reached_address: WorkerAddress | None = None
+    _poll_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     def __post_init__(self) -> None:
         """Create the parts that share the clock with this link."""
@@ -73,7 +86,11 @@
             self.context.waiting_acknowledgements
         )
         self.orders = WorkerOrders(
-            self.worker, self.owner, self.context, self.clock
+            self.worker,
+            self.owner,
+            self.context,
+            self.clock,
+            self._interrupt_poll,
         )
         self._reports = ReportProcessor(
             self.worker,
@@ -106,22 +123,14 @@
         if not self.owner.may_extend_leases():
             await trio.sleep(_UNREACHABLE_PAUSE_S)
             return
-        sent_s = boot_s()
-        wait_ms = self._wait_ms()
         address = self.orders.address
-        report = await self.context.worker_client.hold(
-            address,
-            HoldOrder(
-                fence=self.context.fence,
-                acknowledged_end=self._acknowledged_end(),
-                expires_ms=self._lease_end_ms(sent_s),
-                wait_ms=wait_ms,
-            ),
-            timeout_s=wait_ms / 1_000 + _HOLD_TIMEOUT_MARGIN_S,
-        )
+        fetched = await self._fetch_report()
+        report = fetched.report
         self.polls_count += 1
         if report.outcome is OrderOutcome.ACCEPTED:
-            self._reports.process(report, sent_s=sent_s, nursery=nursery)
+            self._reports.process(
+                report, sent_s=fetched.sent_s, nursery=nursery
+            )
             self._record_reached(address)
             self.owner.on_polled(self.worker.worker_id)
             await self.acknowledgements.wait(timeout_s=_ACKNOWLEDGEMENT_WAIT_S)
@@ -135,30 +144,59 @@
             )
             await trio.sleep(_UNREACHABLE_PAUSE_S)
 
-    def _acknowledged_end(self) -> int:
-        """Return the number of the last end that the worker may forget.
+    async def _fetch_report(self) -> _FetchedReport:
+        """Poll the known incarnation, or find out which one is there.
 
-        A worker that didn't answer may have been restarted. Its ends are
-        numbered anew then, and those that it has not reported yet must stay.
+        A worker that didn't answer may have started again under its id. What a
+        poll grants and acknowledges is meant for one incarnation, so neither is
+        done until it has answered.
         """
         if not self.worker.is_reachable:
-            return 0
-        return self.acknowledgements.acknowledged_number
+            return await self._poll_unknown()
+        self._poll_scope = trio.CancelScope()
+        with self._poll_scope:
+            fetched = await self._poll_incarnation()
+            if fetched.report.outcome is not OrderOutcome.NOT_CONNECTED:
+                return fetched
+        await trio.sleep(_RECONNECT_PAUSE_S)
+        return await self._poll_unknown()
+
+    async def _poll_incarnation(self) -> _FetchedReport:
+        """Extend the leases at the known incarnation, and wait for a report.
+
+        A poll without an answer may have been carried out.
+        """
+        sent_s = boot_s()
+        order = HoldOrder(
+            fence=self.context.fence,
+            acknowledged_end=self.acknowledgements.acknowledged_number,
+            expires_ms=self.clock.grant_lease(
+                self.context.hold_ms, now_s=sent_s
+            ),
+            wait_ms=self._wait_ms(),
+        )
+        report = await self.context.worker_client.hold(
+            self.orders.incarnation,
+            order,
+            timeout_s=order.wait_ms / _MS_PER_S + _HOLD_TIMEOUT_MARGIN_S,
+        )
+        return _FetchedReport(report, sent_s)
 
-    def _lease_end_ms(self, now_s: float) -> int | None:
-        """Return the end of the lease to grant with the next poll.
+    async def _poll_unknown(self) -> _FetchedReport:
+        """Ask on a new connection which incarnation is there."""
+        sent_s = boot_s()
+        report = await self.context.worker_client.hold(
+            self.orders.address,
+            self.orders.build_probe(),
+            timeout_s=_HOLD_TIMEOUT_MARGIN_S,
+        )
+        return _FetchedReport(report, sent_s)
 
-        A poll without an answer may have been carried out. A worker that
-        doesn't answer therefore gets no longer lease, so that its runs end at
-        a known time.
-        """
-        if not self.worker.is_reachable:
-            return None
-        return self.clock.grant_lease(self.context.hold_ms, now_s=now_s)
+    def _interrupt_poll(self) -> None:
+        """End a poll of an incarnation that another one has replaced."""
+        self._poll_scope.cancel()
 
     def _wait_ms(self) -> int:
-        if self.clock.reading_ms is None or not self.worker.is_reachable:
-            return 0
         if self.is_urgent:
             return _URGENT_WAIT_MS
         return _BUSY_WAIT_MS if self.worker.runs else _IDLE_WAIT_MS
--- a/src/marjoramwharf/cells/worker_messages.py
+++ b/src/marjoramwharf/cells/worker_messages.py
@@ -22,7 +22,9 @@
     ``BUSY``: the worker was unhealthy and did nothing.
     ``OTHER_WORKER``: the address belongs to another incarnation. ``UNKNOWN``:
     there was no answer; the order may be carried out, even seconds later.
-    ``NOT_SENT``: the order was not sent.
+    ``NOT_SENT``: the order was not sent. ``NOT_CONNECTED``: nor was it, since
+    no connection to the incarnation is kept; for a hold, the connection may
+    have ended before the answer.
     """
 
     ACCEPTED = 'accepted'
@@ -36,15 +38,22 @@
     OTHER_WORKER = 'other_worker'
     UNKNOWN = 'unknown'
     NOT_SENT = 'not_sent'
+    NOT_CONNECTED = 'not_connected'
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerAddress:
-    """Id of a worker and the address at which it listens."""
+    """Id of a worker, the address at which it listens, and its incarnation.
+
+    A call to an incarnation, told by ``born_ms``, is sent only on a connection
+    on which that one has answered, so no other carries it out. A hold to any
+    (``None``) opens a connection and learns from the answer whose it is.
+    """
 
     worker_id: WorkerId
     host: str
     port: int
+    born_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 import trio
@@ -14,6 +14,7 @@
 from marjoramwharf.cells.link_log import log_other_clock
 from marjoramwharf.cells.worker_clock import WorkerClock, is_other_clock
 from marjoramwharf.cells.worker_messages import (
+    HoldOrder,
     OrderAnswer,
     OrderOutcome,
     PaceOrder,
@@ -38,6 +39,9 @@
 _UNHEALTHY_WORKER_PAUSE_S = 0.5
 _FULL_WORKER_PAUSE_S = 0.1
 
+# Another order may take a connection that was opened for one.
+_CONNECTIONS_PER_ORDER_COUNT = 3
+
 # Outcomes of a start order that prove that the run has started. A run number is
 # used once, and ``start`` leaves alone a run that is being stopped, so "too
 # old" means that the run has ended there already; the next poll reports it.
@@ -54,6 +58,10 @@
 )
 
 
+def _ignore_replacement() -> None:
+    """Do nothing when another incarnation answers."""
+
+
 @dataclass(frozen=True, slots=True)
 class _StartAttempt:
     """The answer to a start order that was sent at ``sent_s``."""
@@ -69,12 +77,18 @@
     ``clock`` estimates the worker's clock and is shared with its link. Only a
     few orders are on their way at a time, each on a connection: a worker keeps
     those of an owner that lost power, and takes a limited number of them.
+
+    The times and numbers in an order are those of one incarnation, and the
+    worker's id doesn't tell another one, which would carry the order out. An
+    order is therefore sent only on a connection on which the incarnation has
+    answered a poll. ``on_replaced`` is called when another one answers.
     """
 
     worker: Worker
     owner: LinkOwner
     context: LinkContext
     clock: WorkerClock
+    on_replaced: Callable[[], None] = _ignore_replacement
     _slots: trio.Semaphore = field(
         default_factory=lambda: trio.Semaphore(_CONCURRENT_ORDERS_COUNT)
     )
@@ -85,6 +99,23 @@
         listing = self.worker.listing
         return WorkerAddress(listing.worker_id, listing.host, listing.port)
 
+    @property
+    def incarnation(self) -> WorkerAddress:
+        """The address of the incarnation that answered the latest poll.
+
+        Before the first poll, it is that of any incarnation.
+        """
+        if self.clock.reading_ms is None:
+            return self.address
+        return replace(self.address, born_ms=self.worker.born_ms)
+
+    def build_probe(self) -> HoldOrder:
+        """Return a hold that any incarnation may answer.
+
+        It grants no lease and acknowledges no end.
+        """
+        return HoldOrder(self.context.fence, 0, None, 0)
+
     async def start(self, run: Run) -> None:
         """Send the start order of a planned run and handle the outcome.
 
@@ -158,7 +189,7 @@
             # The run may have been stopped while the order waited.
             if run.phase is RunPhase.ORDERED:
                 sent_s = boot_s()
-                answer = await self._send_start(run, sent_s)
+                answer = await self._send(partial(self._send_start, run))
                 attempt = _StartAttempt(answer, sent_s)
         finally:
             self._slots.release()
@@ -179,15 +210,53 @@
             return False
         return True
 
-    async def _send_start(self, run: Run, now_s: float) -> OrderAnswer:
+    async def _send(
+        self, send: Callable[[], Awaitable[OrderAnswer]]
+    ) -> OrderAnswer:
+        """Send an order, and open a connection first if none is kept."""
+        for _ in range(_CONNECTIONS_PER_ORDER_COUNT):
+            incarnation = self.incarnation
+            answer = await _call_isolated(send)
+            if answer.outcome is not OrderOutcome.NOT_CONNECTED:
+                if self.incarnation.born_ms == incarnation.born_ms:
+                    return answer
+                # What a former incarnation has taken says nothing any more.
+                return OrderAnswer(OrderOutcome.UNKNOWN)
+            if not await self._open_connection():
+                break
+        return OrderAnswer(OrderOutcome.NOT_SENT)
+
+    async def _open_connection(self) -> bool:
+        """Open a connection; return whether it leads to the incarnation."""
+        if not self.owner.may_extend_leases():
+            return False
+        report = await self.context.worker_client.hold(
+            self.address,
+            self.build_probe(),
+            timeout_s=_ORDER_TIMEOUT_S,
+        )
+        if report.outcome is OrderOutcome.FENCED:
+            self.owner.on_superseded()
+        if report.outcome is not OrderOutcome.ACCEPTED:
+            return False
+        if report.born_ms != self.worker.born_ms:
+            self.on_replaced()
+            return False
+        return True
+
+    async def _send_start(self, run: Run) -> OrderAnswer:
         """Send the order, with a lease that ends at a known time.
 
         This process may stand still at any point. The right to send is
         therefore checked right before the lease is granted: an order that
         leaves later carries that lease and is refused once it has ended.
         """
-        if not self.owner.may_start_runs(self.worker):
+        is_same_incarnation = run.born_ms == self.worker.born_ms
+        if not is_same_incarnation or not self.owner.may_start_runs(
+            self.worker
+        ):
             return OrderAnswer(OrderOutcome.NOT_SENT)
+        now_s = boot_s()
         expires_ms = self.clock.grant_lease(self.context.hold_ms, now_s=now_s)
         if expires_ms is None:
             return OrderAnswer(OrderOutcome.NOT_SENT)
@@ -200,13 +269,8 @@
             checkpoint=run.task.checkpoint,
             ticket=run.ticket,
         )
-        answer = await _call_isolated(
-            partial(
-                self.context.worker_client.start,
-                self.address,
-                order,
-                timeout_s=_ORDER_TIMEOUT_S,
-            )
+        answer = await self.context.worker_client.start(
+            self.incarnation, order, timeout_s=_ORDER_TIMEOUT_S
         )
         self._check_clock(order, answer, waited_s=boot_s() - now_s)
         return answer
@@ -231,8 +295,10 @@
             if not self.owner.may_extend_leases():
                 return OrderAnswer(OrderOutcome.NOT_SENT)
             self.context.counters.pace_orders_count += 1
-            return await self.context.worker_client.pace(
-                self.address, order, timeout_s=_ORDER_TIMEOUT_S
+            return await self._send(
+                lambda: self.context.worker_client.pace(
+                    self.incarnation, order, timeout_s=_ORDER_TIMEOUT_S
+                )
             )
         finally:
             self._slots.release()
@@ -242,12 +308,9 @@
         try:
             if not self.owner.may_extend_leases():
                 return OrderAnswer(OrderOutcome.NOT_SENT)
-            return await _call_isolated(
-                partial(
-                    self.context.worker_client.stop,
-                    self.address,
-                    order,
-                    timeout_s=_ORDER_TIMEOUT_S,
+            return await self._send(
+                lambda: self.context.worker_client.stop(
+                    self.incarnation, order, timeout_s=_ORDER_TIMEOUT_S
                 )
             )
         finally:
--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import errno
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from urllib.parse import urlsplit
 
@@ -45,22 +45,58 @@
     """No connection could be opened; the request was not sent."""
 
 
+class NoKeptConnection(NotConnected):
+    """No connection to the process is kept; the request was not sent."""
+
+
+class StaleConnection(CallFailed):
+    """A reused connection ended before the first byte of a response."""
+
+
 class BadRequest(ValueError):
     """A request can't be written as HTTP; nothing was sent."""
 
 
-class _StaleConnection(CallFailed):
-    """A reused connection ended before the first byte of a response."""
+@dataclass(frozen=True, slots=True)
+class KeptConnection:
+    """Use only a kept connection, on which ``process`` has answered.
+
+    A connection leads to one process for as long as it lasts, so the request
+    can't reach another one that listens at the same address later.
+    """
+
+    process: int
+
+
+@dataclass(frozen=True, slots=True)
+class NewConnection:
+    """Open a connection, and keep it for the process that answers there.
+
+    ``identify`` returns a number of the process that gave a response, ``None``
+    if the response doesn't tell it; the connection is closed then.
+    """
+
+    identify: Callable[[ClientResponse], int | None]
+
+
+# Without a choice, any connection is used that isn't kept for a process.
+ConnectionChoice = KeptConnection | NewConnection | None
+
+_Pools = dict[int | None, list['_Connection']]
 
 
 @dataclass(slots=True)
 class _Connection:
-    """A connection to a server, and the reader of its responses."""
+    """A connection to a server, and the reader of its responses.
+
+    ``process`` is the process that it is kept for, if any.
+    """
 
     stream: trio.SocketStream
     reader: ResponseReader
     idle_since_s: float = 0
     responses_count: int = 0
+    process: int | None = None
 
     def is_reusable(self, oldest_s: float) -> bool:
         """Whether the connection is open and idle since ``oldest_s`` at most.
@@ -73,9 +109,12 @@
 
 
 @dataclass(slots=True)
-class _Progress:
-    """Tracks whether any part of a request may have been sent."""
+class _Exchange:
+    """A request, and whether any part of it may have been sent."""
 
+    address: Address
+    message: bytes
+    choice: ConnectionChoice
     may_be_sent: bool = False
 
 
@@ -85,9 +124,7 @@
 
     connect_timeout_s: float = 2
     opened_count: int = 0
-    _idle_connections: dict[Address, list[_Connection]] = field(
-        default_factory=dict
-    )
+    _idle_connections: dict[Address, _Pools] = field(default_factory=dict)
 
     async def request(
         self,
@@ -98,10 +135,11 @@
         body: bytes = b'',
         timeout_s: float,
         is_repeatable: bool = False,
+        choice: ConnectionChoice = None,
     ) -> ClientResponse:
         """Send a request and return the complete response.
 
-        If a reused connection ends before the first byte of a response, a
+        The ``choice`` limits the connections that may be used. If a reused connection ends before the first byte of a response, a
         request that ``is_repeatable`` is sent once more on a new one. The
         response to that one says nothing about the first one, which the server
         may have executed, so this is meant for reads and renewals only.
@@ -122,30 +160,25 @@
             },
             body,
         )
-        progress = _Progress()
+        exchange = _Exchange(address, message, choice)
         with trio.move_on_after(timeout_s):
             try:
-                return await self._attempt(address, message, progress)
-            except _StaleConnection:
+                return await self._attempt(exchange)
+            except StaleConnection:
                 # The other idle connections have probably ended, too.
                 await self._close_idle(address)
                 if not is_repeatable:
                     raise
-            return await self._repeat(address, message, progress)
-        if not progress.may_be_sent:
+            return await self._repeat(exchange)
+        if not exchange.may_be_sent:
             raise NotConnected(f'no connection within {timeout_s} s')
         raise CallFailed(f'no response within {timeout_s} s')
 
-    async def _attempt(
-        self,
-        address: Address,
-        message: bytes,
-        progress: _Progress,
-    ) -> ClientResponse:
-        connection = await self._acquire(address)
-        progress.may_be_sent = True
+    async def _attempt(self, exchange: _Exchange) -> ClientResponse:
+        connection = await self._acquire(exchange)
+        exchange.may_be_sent = True
         try:
-            await connection.stream.send_all(message)
+            await connection.stream.send_all(exchange.message)
             response = await connection.reader.read(connection.stream)
         except (OSError, trio.BrokenResourceError, ResponseError) as error:
             await trio.aclose_forcefully(connection.stream)
@@ -153,36 +186,55 @@
         except trio.Cancelled:
             await trio.aclose_forcefully(connection.stream)
             raise
-        await self._release(address, connection)
+        if isinstance(exchange.choice, NewConnection):
+            connection.process = exchange.choice.identify(response)
+            await self._close_others(exchange.address, connection)
+        await self._release(exchange, connection)
         return response
 
-    async def _repeat(
-        self,
-        address: Address,
-        message: bytes,
-        progress: _Progress,
-    ) -> ClientResponse:
+    async def _repeat(self, exchange: _Exchange) -> ClientResponse:
         """Send a request again that the server may have executed."""
         try:
-            return await self._attempt(address, message, progress)
+            return await self._attempt(exchange)
         except NotConnected as failure:
             raise CallFailed(f'sent, but now {failure}') from failure
 
-    async def _acquire(self, address: Address) -> _Connection:
-        idle = self._idle_connections.setdefault(address, [])
+    async def _acquire(self, exchange: _Exchange) -> _Connection:
+        choice = exchange.choice
+        if isinstance(choice, NewConnection):
+            return await self._open(exchange.address)
+        process = None if choice is None else choice.process
+        connection = await self._take_idle(exchange.address, process)
+        if connection is not None:
+            return connection
+        if process is not None:
+            raise NoKeptConnection(f'{exchange.address[0]}: none is kept')
+        return await self._open(exchange.address)
+
+    async def _take_idle(
+        self, address: Address, process: int | None
+    ) -> _Connection | None:
+        idle = self._idle_connections.get(address, {}).get(process, [])
         oldest_s = trio.current_time() - _MAX_IDLE_S
         while idle:
             connection = idle.pop()
             if connection.is_reusable(oldest_s):
                 return connection
             await trio.aclose_forcefully(connection.stream)
-        return await self._open(address)
+        return None
+
+    async def _close_others(
+        self, address: Address, connection: _Connection
+    ) -> None:
+        """Close those kept for processes that listened there earlier."""
+        pools = self._idle_connections.get(address, {})
+        for process in tuple(pools):
+            if process not in {None, connection.process}:
+                await _close_all(pools.pop(process, []))
 
     async def _close_idle(self, address: Address) -> None:
-        idle = self._idle_connections.get(address, [])
-        while idle:
-            # Removed first, since another request may take one meanwhile.
-            await trio.aclose_forcefully(idle.pop().stream)
+        for idle in tuple(self._idle_connections.get(address, {}).values()):
+            await _close_all(idle)
 
     async def _open(self, address: Address) -> _Connection:
         try:
@@ -195,17 +247,29 @@
         self.opened_count += 1
         return _Connection(stream, ResponseReader())
 
-    async def _release(self, address: Address, connection: _Connection) -> None:
-        if connection.reader.is_reusable:
+    async def _release(
+        self, exchange: _Exchange, connection: _Connection
+    ) -> None:
+        is_unidentified = connection.process is None and isinstance(
+            exchange.choice, NewConnection
+        )
+        if connection.reader.is_reusable and not is_unidentified:
             connection.idle_since_s = trio.current_time()
             connection.responses_count += 1
-            idle = self._idle_connections.setdefault(address, [])
+            pools = self._idle_connections.setdefault(exchange.address, {})
+            idle = pools.setdefault(connection.process, [])
             idle.append(connection)
             await _close_expired(idle)
         else:
             await trio.aclose_forcefully(connection.stream)
 
 
+async def _close_all(idle: list[_Connection]) -> None:
+    while idle:
+        # Removed first, since another request may take one meanwhile.
+        await trio.aclose_forcefully(idle.pop().stream)
+
+
 async def _close_expired(idle: list[_Connection]) -> None:
     """Close the connections that have been idle for too long to be reused.
 
@@ -224,7 +288,7 @@
 
 def _make_failure(connection: _Connection, error: Exception) -> CallFailed:
     if connection.responses_count and not connection.reader.has_begun:
-        return _StaleConnection(repr(error))
+        return StaleConnection(repr(error))
     return CallFailed(repr(error))
 
 
--- a/src/marjoramwharf/platform/worker_client.py
+++ b/src/marjoramwharf/platform/worker_client.py
@@ -23,15 +23,21 @@
 from marjoramwharf.json_bodies import Amount, Ratio, decode_json
 from marjoramwharf.links.http_client import (
     CallFailed,
+    ConnectionChoice,
     HttpClient,
+    KeptConnection,
+    NewConnection,
+    NoKeptConnection,
     NotConnected,
+    StaleConnection,
 )
 from marjoramwharf.links.http_responses import ClientResponse
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.job_state import RunEnd
 
 _LOG = part_logger('worker')
-# Holds the worker id, which the platform calls instance.
+# Holds the worker id, which the platform calls instance. A worker keeps its id
+# when it starts again, so this doesn't tell its incarnations.
 _INCARNATION_HEADER = 'X-Marjoramwharf-Target-Instance'
 _CONFLICT = 409
 
@@ -202,11 +208,13 @@
             expires_ms=order.expires_ms,
             wait_ms=order.wait_ms,
         )
-        answer = await self._send(
-            worker, '/hold', body, timeout_s, is_repeatable=True
-        )
-        if isinstance(answer, OrderOutcome):
-            return HoldReport(answer)
+        choice = _choose_connection(worker) or NewConnection(_read_born_ms)
+        try:
+            answer = await self._send(worker, '/hold', body, timeout_s, choice)
+        except StaleConnection:
+            return HoldReport(OrderOutcome.NOT_CONNECTED)
+        except CallFailed as failure:
+            return HoldReport(_outcome_of(failure))
         if not answer.is_success:
             refusal = _to_order_answer(answer)
             return HoldReport(refusal.outcome)
@@ -227,9 +235,11 @@
         body: Struct,
         timeout_s: float,
     ) -> OrderAnswer:
-        answer = await self._send(worker, path, body, timeout_s)
-        if isinstance(answer, OrderOutcome):
-            return OrderAnswer(answer)
+        choice = _choose_connection(worker)
+        try:
+            answer = await self._send(worker, path, body, timeout_s, choice)
+        except CallFailed as failure:
+            return OrderAnswer(_outcome_of(failure))
         return _to_order_answer(answer)
 
     async def _send(
@@ -238,25 +248,43 @@
         path: str,
         body: Any,
         timeout_s: float,
-        *,
-        is_repeatable: bool = False,
-    ) -> ClientResponse | OrderOutcome:
-        try:
-            return await self._client.request(
-                'POST',
-                f'http://{worker.host}:{worker.port}{path}',
-                headers={
-                    'Content-Type': 'application/json',
-                    _INCARNATION_HEADER: worker.worker_id,
-                },
-                body=json.encode(body),
-                timeout_s=timeout_s,
-                is_repeatable=is_repeatable,
-            )
-        except NotConnected:
-            return OrderOutcome.NOT_SENT
-        except CallFailed:
-            return OrderOutcome.UNKNOWN
+        choice: ConnectionChoice,
+    ) -> ClientResponse:
+        """Send a call; raises ``CallFailed``."""
+        return await self._client.request(
+            'POST',
+            f'http://{worker.host}:{worker.port}{path}',
+            headers={
+                'Content-Type': 'application/json',
+                _INCARNATION_HEADER: worker.worker_id,
+            },
+            body=json.encode(body),
+            timeout_s=timeout_s,
+            choice=choice,
+        )
+
+
+def _choose_connection(worker: WorkerAddress) -> KeptConnection | None:
+    """Return the connections for calls to a known incarnation, else any."""
+    return None if worker.born_ms is None else KeptConnection(worker.born_ms)
+
+
+def _read_born_ms(answer: ClientResponse) -> int | None:
+    """Return which incarnation gave an answer to a hold, if it tells."""
+    if not answer.is_success:
+        return None
+    try:
+        return decode_json(answer.body, _HoldReply).born
+    except DecodeError:
+        return None
+
+
+def _outcome_of(failure: CallFailed) -> OrderOutcome:
+    if isinstance(failure, NoKeptConnection):
+        return OrderOutcome.NOT_CONNECTED
+    if isinstance(failure, NotConnected):
+        return OrderOutcome.NOT_SENT
+    return OrderOutcome.UNKNOWN
 
 
 def _to_order_answer(answer: ClientResponse) -> OrderAnswer:
--- a/standins/simulated_worker.py
+++ b/standins/simulated_worker.py
@@ -28,6 +28,9 @@
 from marjoramwharf.scheduling.job_state import RunEnd
 
 _MS_PER_S = 1_000
+
+# The Unix time at which the simulated clock shows 0.
+_EPOCH_MS = 1_600_000_000_000
 _FULL_PERCENT = 100
 _DURATION = re.compile(r'ms=(\d+)')
 _INCREASE = re.compile(r'more=(\d+)')
@@ -98,6 +101,11 @@
     _next_end_number: int = 1
     _ended_runs: dict[int, RunHistory] = field(default_factory=dict)
 
+    @property
+    def born_ms(self) -> int:
+        """The Unix time of the worker's start, which tells its incarnation."""
+        return _EPOCH_MS + int(self.born_s * _MS_PER_S)
+
     def clock_ms(self, now_s: float) -> int:
         """Return the time of the worker's own clock."""
         age_ms = int((now_s - self.born_s) * _MS_PER_S)
@@ -184,7 +192,7 @@
         return HoldReport(
             outcome=OrderOutcome.ACCEPTED,
             clock_ms=clock_ms,
-            born_ms=int(self.born_s * _MS_PER_S),
+            born_ms=self.born_ms,
             running=[
                 RunReport(
                     run.task,
--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -74,6 +74,8 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to start a run."""
+        if self._has_ended(worker):
+            return await _not_connected()
         with self._in_flight(worker.worker_id):
             return await self._send_start(worker, order, timeout_s)
 
@@ -105,6 +107,8 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to stop a run."""
+        if self._has_ended(worker):
+            return await _not_connected()
         with self._in_flight(worker.worker_id):
             return await self._send_stop(worker, order, timeout_s)
 
@@ -133,6 +137,8 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to change the pace of a run."""
+        if self._has_ended(worker):
+            return await _not_connected()
         answer = await self._reach(
             worker.worker_id,
             lambda: self._worker(worker.worker_id).pace(
@@ -151,6 +157,9 @@
         timeout_s: float,
     ) -> HoldReport:
         """Extend leases; report at a run's end or after ``wait_ms``."""
+        if self._has_ended(worker):
+            refusal = await _not_connected()
+            return HoldReport(refusal.outcome)
         if worker.host in self.foreign_hosts:
             await trio.lowlevel.checkpoint()
             return HoldReport(OrderOutcome.OTHER_WORKER)
@@ -195,6 +204,13 @@
             await trio.sleep_until(timeout_at_s)
         return HoldReport(OrderOutcome.UNKNOWN)
 
+    def _has_ended(self, worker: WorkerAddress) -> bool:
+        """Whether the connections to the addressed incarnation have ended."""
+        present = self.workers.get(worker.worker_id)
+        if worker.born_ms is None or present is None:
+            return False
+        return worker.born_ms != present.born_ms
+
     @contextmanager
     def _in_flight(self, worker_id: WorkerId) -> Iterator[None]:
         self.orders_in_flight[worker_id] += 1
@@ -227,3 +243,8 @@
             return None
         await trio.lowlevel.checkpoint()
         return call()
+
+
+async def _not_connected() -> OrderAnswer:
+    await trio.lowlevel.checkpoint()
+    return OrderAnswer(OrderOutcome.NOT_CONNECTED)
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -13,6 +13,7 @@
 from unittest.mock import PropertyMock, patch
 
 from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.end_acknowledgements import (
     EndAcknowledgements,
     _UnacknowledgedEnd,
@@ -21,8 +22,9 @@
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.report_processor import ReportProcessor
 from marjoramwharf.cells.worker_clock import WorkerClock
-from marjoramwharf.cells.worker_link import WorkerLink
+from marjoramwharf.cells.worker_link import WorkerLink, _FetchedReport
 from marjoramwharf.cells.worker_messages import (
+    HoldOrder,
     HoldReport,
     OrderAnswer,
     OrderOutcome,
@@ -40,18 +42,17 @@
 
 _send_start = WorkerOrders._send_start
 _send_stop = WorkerOrders._send_stop
+_poll_unknown = WorkerLink._poll_unknown
 _plan = PlanLoop._plan
 _add_end = EndAcknowledgements.add
 _run_writer = ProgressWriter.run
 
 
-async def _start_without_fence(
-    self: WorkerOrders, run: Run, now_s: float
-) -> OrderAnswer:
+async def _start_without_fence(self: WorkerOrders, run: Run) -> OrderAnswer:
     context = self.context
     self.context = replace(context, fence=0)
     try:
-        return await _send_start(self, run, now_s)
+        return await _send_start(self, run)
     finally:
         self.context = context
 
@@ -70,12 +71,16 @@
             cell._send_start(run)
 
 
-def _lease_for_unreachable(self: WorkerLink, now_s: float) -> int | None:
-    return self.clock.grant_lease(self.context.hold_ms, now_s=now_s)
+def _probe_with_lease(self: WorkerOrders) -> HoldOrder:
+    lease_end_ms = self.clock.grant_lease(self.context.hold_ms, now_s=boot_s())
+    return HoldOrder(self.context.fence, 0, lease_end_ms, 0)
 
 
-def _always_acknowledge(self: WorkerLink) -> int:
-    return self.acknowledgements.acknowledged_number
+async def _poll_with_old_ends(self: WorkerLink) -> _FetchedReport:
+    number = self.acknowledgements.acknowledged_number
+    probe = replace(self.orders.build_probe(), acknowledged_end=number)
+    with patch.object(WorkerOrders, 'build_probe', lambda _self: probe):
+        return await _poll_unknown(self)
 
 
 def _is_same_by_clock(
@@ -107,11 +112,9 @@
     return outcome is OrderOutcome.OTHER_WORKER
 
 
-async def _start_for_sure(
-    self: WorkerOrders, run: Run, now_s: float
-) -> OrderAnswer:
+async def _start_for_sure(self: WorkerOrders, run: Run) -> OrderAnswer:
     """Take an order without an outcome for one that was never sent."""
-    answer = await _send_start(self, run, now_s)
+    answer = await _send_start(self, run)
     if answer.outcome is OrderOutcome.UNKNOWN:
         return OrderAnswer(OrderOutcome.NOT_SENT)
     return answer
@@ -141,10 +144,13 @@
         PlanLoop, '_plan', _plan_and_start
     ),
     'no lease is extended without answers': lambda: patch.object(
-        WorkerLink, '_lease_end_ms', _lease_for_unreachable
+        WorkerOrders, 'build_probe', _probe_with_lease
     ),
     'a worker that may have restarted keeps its ends': lambda: patch.object(
-        WorkerLink, '_acknowledged_end', _always_acknowledge
+        WorkerLink, '_poll_unknown', _poll_with_old_ends
+    ),
+    'an order reaches only the incarnation it is meant for': lambda: (
+        patch.object(WorkerOrders, 'incarnation', WorkerOrders.address)
     ),
     'the start time of a worker tells its incarnation': lambda: patch.object(
         ReportProcessor, '_is_same_incarnation', _is_same_by_clock
--- a/tests/cells/test_link_log.py
+++ b/tests/cells/test_link_log.py
@@ -99,12 +99,12 @@
         return lines[0]
 
     async def _start_with_a_lease_of_another_clock(self) -> None:
-        """The clock starts anew while a poll waits for its answer."""
+        """The clock goes back while a poll waits for its answer."""
         async with open_cluster((_NAME,)) as (cluster, nursery):
             owner = await _elect(cluster, nursery)
             worker = cluster.workers[_NAME]
             cluster.worker_client.hold_answer_delays_s.append(0.9)
-            worker.born_s = trio.current_time()
+            worker.clock_origin_ms = -round(trio.current_time() * _MS_PER_S)
             await cluster.submit(job_request('aa', payload='ms=60000'))
             await cluster.wait_until(lambda: bool(worker.starts))
             await trio.sleep(0.1)
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -25,9 +25,12 @@
 _START = StartOrder(_TASK, 2, '(text)', 486_000, 7, '00000bb87a21d94b')
 
 
-def _address(script: Script) -> WorkerAddress:
+_REPORT = (200, {'ClockMs': 482113, 'born': 99, 'Running': [], 'Ended': []})
+
+
+def _address(script: Script, *, born_ms: int | None = None) -> WorkerAddress:
     host, _, port = script.address.partition(':')
-    return WorkerAddress(WorkerId('i-1'), host, int(port))
+    return WorkerAddress(WorkerId('i-1'), host, int(port), born_ms)
 
 
 class WorkerClientTests(unittest.TestCase):
@@ -69,6 +72,49 @@
         """Guards against a refusal that is read from a part of an answer."""
         trio.run(self._answer_is_cut_off)
 
+    def test_order_to_an_incarnation(self) -> None:
+        """Guards against an order that another incarnation carries out."""
+        trio.run(self._order_to_an_incarnation)
+
+    def test_hold_is_not_repeated(self) -> None:
+        """Guards against a lease and ends of before at a new incarnation."""
+        trio.run(self._hold_is_not_repeated)
+
+    async def _order_to_an_incarnation(self) -> None:
+        """Only a connection that the incarnation has answered on is used."""
+        async with scripted(_REPORT, (200, {})) as script:
+            known, other = (_address(script, born_ms=born) for born in (99, 98))
+            for worker, outcome in (
+                (known, OrderOutcome.NOT_CONNECTED),
+                (_address(script), OrderOutcome.ACCEPTED),
+                (other, OrderOutcome.NOT_CONNECTED),
+                (known, OrderOutcome.ACCEPTED),
+            ):
+                if worker.born_ms is None:
+                    report = await self.worker_client.hold(
+                        worker, HoldOrder(7, 0, None, 0), timeout_s=2
+                    )
+                    self.assertIs(outcome, report.outcome)
+                    continue
+                answer = await self.worker_client.start(
+                    worker, _START, timeout_s=2
+                )
+                self.assertIs(outcome, answer.outcome)
+            self.assertEqual(2, len(script.requests))
+
+    async def _hold_is_not_repeated(self) -> None:
+        async with scripted(_REPORT, None, _REPORT) as script:
+            await self.worker_client.hold(
+                _address(script), HoldOrder(7, 0, None, 0), timeout_s=2
+            )
+            report = await self.worker_client.hold(
+                _address(script, born_ms=99),
+                HoldOrder(7, 57, 486_000, 0),
+                timeout_s=2,
+            )
+            self.assertIs(OrderOutcome.NOT_CONNECTED, report.outcome)
+            self.assertEqual(2, len(script.requests))
+
     async def _answer_is_cut_off(self) -> None:
         async with raw_server() as server:
             server.response = (
