End a tenure for any later owner record, seen after its own or not

An owner ended its tenure only once its view had shown its own record. If the view lagged, or was read anew, its own and its successor's record came in one batch, so it never saw its own and went on: where the store still answers its renewals, until a write conflicts or a worker refuses its fence. Meanwhile it extends leases that the successor counts as lapsed (TWICE).

A record of a higher revision now ends the tenure at once; an older one doesn't, as before. tests/cells/test_ownership.py: test_successor_is_seen_with_own_record failed before.

--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -314,16 +314,19 @@
             tenure.valid_until_s = sent_s + self.ttl_ms / _MS_PER_S
 
     async def _watch_record(self, tenure: Tenure) -> None:
-        """End the tenure when the store has another owner record, or none."""
+        """End the tenure when the store has another owner record, or none.
+
+        Until the view has this tenure's record, it may show an older one.
+        """
         was_own_record_seen = False
         while True:
             await self.view.wait_change()
             owner = self.view.owners.get(self.cell)
-            is_current_record = (
-                owner is not None and owner.revision == tenure.revision
-            )
+            revision = 0 if owner is None else owner.revision
+            is_current_record = revision == tenure.revision
             was_own_record_seen = was_own_record_seen or is_current_record
-            if was_own_record_seen and not is_current_record:
+            is_older = not was_own_record_seen and revision < tenure.revision
+            if not is_current_record and not is_older:
                 _LOG.warning('owner record replaced or deleted', cell=self.cell)
                 tenure.scope.cancel()
                 return
