Tell the writes of an owner's record apart by a nonce

After two writes without an answer, the late one of the first attempt counted as the second's, so the tenure renewed a lease that the record doesn't have; and a record of the process's former tenure counted as new, with the fence of before.

Each attempt now writes a nonce, as the records of members do, and is found only by it.

--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from msgspec import structs
 
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.records import (
@@ -28,7 +29,7 @@
     NotOwner,
     StoreAnswerLost,
 )
-from marjoramwharf.ids import LeaseId
+from marjoramwharf.ids import LeaseId, random_id
 from marjoramwharf.isolation import log_unexpected
 from marjoramwharf.links.store import (
     Committed,
@@ -227,15 +228,14 @@
         """Write the owner record; returns ``None`` unless it is written."""
         sent_s = boot_s()
         lease = await self.store.grant_lease(self.ttl_ms)
-        key = owner_key(self.cell)
+        write = Write(owner_key(self.cell), self._encode_record(), lease)
         revision: int | None = None
         try:
             outcome = await self.store.commit(
-                [Guard(key, replaced_revision)],
-                [Write(key, encode(self.record), lease)],
+                [Guard(write.key, replaced_revision)], [write]
             )
         except StoreAnswerLost:
-            revision = await self._find_own_record(key)
+            revision = await self._find_written(write)
         else:
             if isinstance(outcome, Committed):
                 revision = outcome.revision
@@ -244,10 +244,14 @@
         valid_until_s = sent_s + self.ttl_ms / _MS_PER_S
         return Tenure(self.cell, lease, revision, valid_until_s, boot_s())
 
-    async def _find_own_record(self, key: str) -> int | None:
-        """Return the revision of the owner record if it equals this entry's."""
-        stored = await self.store.read(key)
-        if stored is None or stored.body != encode(self.record):
+    def _encode_record(self) -> bytes:
+        """Return the record to write, which differs from that of any write."""
+        return encode(structs.replace(self.record, nonce=random_id()))
+
+    async def _find_written(self, write: Write) -> int | None:
+        """Return the revision of the owner record if a write stored it."""
+        stored = await self.store.read(write.key)
+        if stored is None or stored.body != write.body:
             return None
         return stored.mod_revision
 
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -35,12 +35,16 @@
 
 
 class EntryRecord(Struct, frozen=True, array_like=True):
-    """An entry, such as the owner of a cell, and its address for messages."""
+    """An entry, such as the owner of a cell, and its address for messages.
+
+    The ``nonce`` of an owner's record identifies the write that stored it.
+    """
 
     entry_id: str
     host: str
     port: Port
     secret: str
+    nonce: str = ''
 
 
 class RunRecord(Struct, frozen=True, array_like=True):
--- a/tests/cells/test_ownership.py
+++ b/tests/cells/test_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 import trio
 from trio.testing import wait_all_tasks_blocked
@@ -52,6 +53,25 @@
         """Guards against a tenure that ends for the sake of an old record."""
         trio.run(self._older_record_is_seen_first)
 
+    def test_answers_of_two_attempts_are_lost(self) -> None:
+        """Guards against a record whose lease nobody renews."""
+        trio.run(self._answers_of_two_attempts_are_lost)
+
+    async def _answers_of_two_attempts_are_lost(self) -> None:
+        """The first attempt is carried out after the second one failed."""
+        store = PollingMemoryStore()
+        campaign = _campaign(store)
+        store.commits_to_delay = 2
+        self.assertIsNone(await campaign._acquire(0))
+        read = store.read
+
+        async def read_after_late_commit(key: str) -> StoredValue | None:
+            store.delayed_commits[0]()
+            return await read(key)
+
+        with patch.object(store, 'read', read_after_late_commit):
+            self.assertIsNone(await campaign._acquire(0))
+
     async def _successor_is_seen_with_own_record(self) -> None:
         """The view lags, and gets both records in one batch."""
         own, successor = _written(_OWN, 10), _written(_NEXT, 11)
