Keep the connections to an incarnation after an answer that tells none

Others are closed only once an answer tells another incarnation, and after the connection itself is kept. The text on repeated requests is wrapped again.

--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -139,7 +139,9 @@
     ) -> ClientResponse:
         """Send a request and return the complete response.
 
-        The ``choice`` limits the connections that may be used. If a reused connection ends before the first byte of a response, a
+        The ``choice`` limits the connections that may be used.
+
+        If a reused connection ends before the first byte of a response, a
         request that ``is_repeatable`` is sent once more on a new one. The
         response to that one says nothing about the first one, which the server
         may have executed, so this is meant for reads and renewals only.
@@ -188,8 +190,9 @@
             raise
         if isinstance(exchange.choice, NewConnection):
             connection.process = exchange.choice.identify(response)
-            await self._close_others(exchange.address, connection)
         await self._release(exchange, connection)
+        if connection.process is not None:
+            await self._close_others(exchange.address, connection.process)
         return response
 
     async def _repeat(self, exchange: _Exchange) -> ClientResponse:
@@ -223,14 +226,12 @@
             await trio.aclose_forcefully(connection.stream)
         return None
 
-    async def _close_others(
-        self, address: Address, connection: _Connection
-    ) -> None:
+    async def _close_others(self, address: Address, process: int) -> None:
         """Close those kept for processes that listened there earlier."""
         pools = self._idle_connections.get(address, {})
-        for process in tuple(pools):
-            if process not in {None, connection.process}:
-                await _close_all(pools.pop(process, []))
+        for other in tuple(pools):
+            if other not in {None, process}:
+                await _close_all(pools.pop(other, []))
 
     async def _close_idle(self, address: Address) -> None:
         for idle in tuple(self._idle_connections.get(address, {}).values()):
