Judge an answer by the address that it came from, and pause between probes

Each report now carries the address it came from.

Two mutants are new, and tools.mutants plays these tests.

--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -26,6 +26,7 @@
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
 from marjoramwharf.isolation import run_isolated
+from marjoramwharf.links.backoff import Backoff
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import Worker
 from marjoramwharf.scheduling.job_state import RunEnd
@@ -45,7 +46,10 @@
 # The answer to a poll may arrive this much after its wait is over.
 _HOLD_TIMEOUT_MARGIN_S = 1.0
 _UNREACHABLE_PAUSE_S = 0.2
-_RECONNECT_PAUSE_S = 0.02
+
+# A worker that closes each connection is asked for its incarnation each time.
+_MIN_RECONNECT_PAUSE_S = 0.02
+_MAX_RECONNECT_PAUSE_S = 1.0
 
 # The next poll waits up to this time until the reported ends are stored. The
 # worker reports any end that is not acknowledged by then again.
@@ -54,9 +58,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _FetchedReport:
-    """The report to a poll that was sent at ``sent_s``."""
+    """The report to a poll that was sent to ``address`` at ``sent_s``."""
 
     report: HoldReport
+    address: WorkerAddress
     sent_s: float
 
 
@@ -79,6 +84,11 @@
     _reports: ReportProcessor = field(init=False)
     _reached_address: WorkerAddress | None = None
     _poll_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    _reconnect_pauses: Backoff = field(
+        default_factory=lambda: Backoff(
+            initial_s=_MIN_RECONNECT_PAUSE_S, max_s=_MAX_RECONNECT_PAUSE_S
+        )
+    )
 
     def __post_init__(self) -> None:
         """Create the parts that share the clock with this link."""
@@ -123,7 +133,6 @@
         if not self.owner.may_extend_leases():
             await trio.sleep(_UNREACHABLE_PAUSE_S)
             return
-        address = self.orders.address
         fetched = await self._fetch_report()
         report = fetched.report
         self.polls_count += 1
@@ -131,7 +140,7 @@
             self._reports.process(
                 report, sent_s=fetched.sent_s, nursery=nursery
             )
-            self._record_reached(address)
+            self._record_reached(fetched.address)
             self.owner.on_polled(self.worker.worker_id)
             await self.acknowledgements.wait(timeout_s=_ACKNOWLEDGEMENT_WAIT_S)
         elif report.outcome is OrderOutcome.FENCED:
@@ -140,7 +149,7 @@
         else:
             self._record_unreachable(
                 report.outcome,
-                is_replaced=self._is_replaced(report.outcome, address),
+                is_replaced=self._is_replaced(report.outcome, fetched.address),
             )
             await trio.sleep(_UNREACHABLE_PAUSE_S)
 
@@ -157,8 +166,9 @@
         with self._poll_scope:
             fetched = await self._poll_incarnation()
             if fetched.report.outcome is not OrderOutcome.NOT_CONNECTED:
+                self._reconnect_pauses.reset()
                 return fetched
-        await trio.sleep(_RECONNECT_PAUSE_S)
+        await trio.sleep(self._reconnect_pauses.next_wait_s())
         return await self._poll_unknown()
 
     async def _poll_incarnation(self) -> _FetchedReport:
@@ -167,6 +177,7 @@
         A poll without an answer may have been carried out.
         """
         sent_s = boot_s()
+        address = self.orders.incarnation
         order = HoldOrder(
             fence=self.context.fence,
             acknowledged_end=self.acknowledgements.acknowledged_number,
@@ -176,21 +187,22 @@
             wait_ms=self._wait_ms(),
         )
         report = await self.context.worker_client.hold(
-            self.orders.incarnation,
+            address,
             order,
             timeout_s=order.wait_ms / _MS_PER_S + _HOLD_TIMEOUT_MARGIN_S,
         )
-        return _FetchedReport(report, sent_s)
+        return _FetchedReport(report, replace(address, born_ms=None), sent_s)
 
     async def _poll_unknown(self) -> _FetchedReport:
         """Ask on a new connection which incarnation is there."""
         sent_s = boot_s()
+        address = self.orders.address
         report = await self.context.worker_client.hold(
-            self.orders.address,
+            address,
             self.orders.build_probe(),
             timeout_s=_HOLD_TIMEOUT_MARGIN_S,
         )
-        return _FetchedReport(report, sent_s)
+        return _FetchedReport(report, address, sent_s)
 
     def _interrupt_poll(self) -> None:
         """End a poll of an incarnation that another one has replaced."""
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -58,10 +58,6 @@
 )
 
 
-def _ignore_replacement() -> None:
-    """Do nothing when another incarnation answers."""
-
-
 @dataclass(frozen=True, slots=True)
 class _StartAttempt:
     """The answer to a start order that was sent at ``sent_s``."""
@@ -88,7 +84,7 @@
     owner: LinkOwner
     context: LinkContext
     clock: WorkerClock
-    on_replaced: Callable[[], None] = _ignore_replacement
+    on_replaced: Callable[[], None]
     _slots: trio.Semaphore = field(
         default_factory=lambda: trio.Semaphore(_CONCURRENT_ORDERS_COUNT)
     )
--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -43,6 +43,7 @@
     answers to the next holds take ``hold_answer_delays_s`` longer than usual.
     A hold that waits at a worker while it restarts fails at once, but gets no
     answer until its timeout if the worker is one of ``dark_restarts``.
+    The next ``connections_to_lose`` calls to an incarnation find no connection.
     Another worker listens at each of the ``foreign_hosts``. At most
     ``most_orders_in_flight`` start and stop orders were on their way to any
     worker at a time.
@@ -58,6 +59,7 @@
     start_answers_to_lose: int = 0
     starts_to_repeat: int = 0
     hold_answers_to_lose: int = 0
+    connections_to_lose: int = 0
     starts_to_delay: int = 0
     stops_to_drop: int = 0
     holds_count: int = 0
@@ -206,6 +208,9 @@
 
     def _has_ended(self, worker: WorkerAddress) -> bool:
         """Whether the connections to the addressed incarnation have ended."""
+        if worker.born_ms is not None and self.connections_to_lose:
+            self.connections_to_lose -= 1
+            return True
         present = self.workers.get(worker.worker_id)
         if worker.born_ms is None or present is None:
             return False
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -190,6 +190,12 @@
         self.workers[worker_id] = worker
         return worker
 
+    async def move_listing(self, name: str, host: str) -> None:
+        """List a worker at another host."""
+        worker_id = WorkerId(name)
+        self.listings[worker_id] = replace(self.listings[worker_id], host=host)
+        await self._store(f'servers/{name}', host.encode())
+
     async def submit(self, request: JobRequest) -> None:
         """Store a job request as an entry does."""
         await self._store(request_key(CELL, request.job_id), encode(request))
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -128,6 +128,10 @@
     return False
 
 
+async def _never_connected(_self: WorkerOrders) -> bool:
+    return False
+
+
 def _always(*_args: object, **_named: object) -> bool:
     return True
 
@@ -149,6 +153,12 @@
     'a worker that may have restarted keeps its ends': lambda: patch.object(
         WorkerLink, '_poll_unknown', _poll_with_old_ends
     ),
+    'an order opens a connection where none is kept': lambda: patch.object(
+        WorkerOrders, '_open_connection', _never_connected
+    ),
+    'an order that finds another incarnation ends its poll': lambda: (
+        patch.object(WorkerLink, '_interrupt_poll', _never)
+    ),
     'an order reaches only the incarnation it is meant for': lambda: (
         patch.object(WorkerOrders, 'incarnation', WorkerOrders.address)
     ),
--- a/tests/cells/test_connection_use.py
+++ b/tests/cells/test_connection_use.py
@@ -115,6 +115,7 @@
                 owner,
                 _context(client),
                 WorkerClock(),
+                on_replaced=Mock(),
             )
             job = add_job(JobTable(), 'a', make_step())
             paced = start_run(JobTable(), first_task(job), orders.worker)
--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -8,9 +8,16 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 import trio
 
+from marjoramwharf.cells.worker_messages import (
+    HoldOrder,
+    HoldReport,
+    OrderOutcome,
+    WorkerAddress,
+)
 from marjoramwharf.ids import WorkerId
 from standins.simulated_worker import SimulatedWorker
 from tests.cells.cluster import (
@@ -32,6 +39,7 @@
 _ALMOST_NOTICED_S = 2.5
 
 _LATE_ORDER_DELAY_S = 2
+_LISTING_DELAY_S = 0.8
 _LATE_ANSWER_DELAY_S = 0.9
 _CLOCK_LEAD_MS = 3_000
 
@@ -111,6 +119,56 @@
         """Guards against an end forgotten by an acknowledgement of before."""
         run_with_clock(self._end_is_acknowledged_by_number_of_before)
 
+    def test_order_finds_no_connection(self) -> None:
+        """Guards against an order that is given up for a lost connection."""
+        run_with_clock(self._order_finds_no_connection)
+
+    def test_order_finds_another_incarnation(self) -> None:
+        """Guards against a restart that is noticed only by a timeout."""
+        run_with_clock(self._order_finds_another_incarnation)
+
+    def test_listing_changes_while_a_poll_waits(self) -> None:
+        """Guards against an answer judged by an address it didn't come from."""
+        run_with_clock(self._listing_changes_while_a_poll_waits)
+
+    async def _order_finds_no_connection(self) -> None:
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            await _finish_early_job(cluster)
+            cluster.worker_client.connections_to_lose = 1
+            await _start_long_task(cluster, cluster.workers[_RESTARTED])
+            self.assertEqual(1, cluster.workers[_RESTARTED].starts[-1][1])
+
+    async def _order_finds_another_incarnation(self) -> None:
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            worker = await _restart_in_the_dark(cluster)
+            began_s = trio.current_time()
+            await _start_long_task(cluster, worker)
+            self.assertLess(trio.current_time() - began_s, _ALMOST_NOTICED_S)
+
+    async def _listing_changes_while_a_poll_waits(self) -> None:
+        """The poll's connection is reset, and a probe finds another worker."""
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            await _start_long_task(cluster, cluster.workers[_RESTARTED])
+            second = await cluster.add_worker('w2')
+            client = cluster.worker_client
+            client.foreign_hosts.add('elsewhere')
+            send_hold = client.hold
+
+            async def reset_hold(
+                worker: WorkerAddress, order: HoldOrder, *, timeout_s: float
+            ) -> HoldReport:
+                if worker.worker_id != _RESTARTED or worker.born_ms is None:
+                    return await send_hold(worker, order, timeout_s=timeout_s)
+                await cluster.move_listing(_RESTARTED, 'elsewhere')
+                await trio.sleep(_LISTING_DELAY_S)
+                return HoldReport(OrderOutcome.NOT_CONNECTED)
+
+            with patch.object(client, 'hold', reset_hold):
+                await cluster.wait_until(lambda: bool(second.running))
+
     async def _cut_off_before_restart_is_noticed(self) -> None:
         async with open_cluster((_RESTARTED,)) as (cluster, nursery):
             await _elect(cluster, nursery)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -23,6 +23,7 @@
     test_histories,
     test_late_answers,
     test_malformed_records,
+    test_restarted_workers,
 )
 from tests.cells.mutants import MUTANTS
 
@@ -31,6 +32,7 @@
     test_cell,
     test_late_answers,
     test_malformed_records,
+    test_restarted_workers,
     test_connection_use,
     test_evacuations,
     test_histories,
