--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,14 +1,3 @@
-"""Tests, one module for each module of the package.
+"""Tests, one module for each module of the package."""
 
-Hypothesis measures how long an example takes to draw and to run. No verdict
-depends on that here, since a busy machine takes longer.
-"""
-
-from hypothesis import HealthCheck, settings
-
-settings.register_profile(
-    'untimed',
-    deadline=None,
-    suppress_health_check=[HealthCheck.too_slow],
-)
-settings.load_profile('untimed')
+from tests import untimed_examples as untimed_examples
