--- a/src/marjoramwharf/platform/worker_client.py
+++ b/src/marjoramwharf/platform/worker_client.py
@@ -208,7 +208,7 @@
             expires_ms=order.expires_ms,
             wait_ms=order.wait_ms,
         )
-        choice = _choose_connection(worker) or NewConnection(_read_born_ms)
+        choice = _connection_to(worker) or NewConnection(_read_born_ms)
         try:
             answer = await self._send(worker, '/hold', body, timeout_s, choice)
         except StaleConnection:
@@ -235,7 +235,7 @@
         body: Struct,
         timeout_s: float,
     ) -> OrderAnswer:
-        choice = _choose_connection(worker)
+        choice = _connection_to(worker)
         try:
             answer = await self._send(worker, path, body, timeout_s, choice)
         except CallFailed as failure:
@@ -264,7 +264,7 @@
         )
 
 
-def _choose_connection(worker: WorkerAddress) -> KeptConnection | None:
+def _connection_to(worker: WorkerAddress) -> KeptConnection | None:
     """Return the connections for calls to a known incarnation, else any."""
     return None if worker.born_ms is None else KeptConnection(worker.born_ms)
 
