--- a/tests/cells/test_histories.py
+++ b/tests/cells/test_histories.py
@@ -14,7 +14,7 @@
 from itertools import repeat
 
 import trio
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from marjoramwharf.errors import LeaseEnded
@@ -164,15 +164,13 @@
 _RIVAL_FAULTS = _FAULTS + (_report_owner_ended,) * len(_FAULTS)
 
 
+_REPEATABLE = settings(derandomize=True, max_examples=_EXAMPLES_COUNT)
+
+
 class HistoryTests(unittest.TestCase):
     """Guards against work doubled or lost by any order of these faults."""
 
-    @settings(
-        derandomize=True,
-        max_examples=_EXAMPLES_COUNT,
-        deadline=None,
-        suppress_health_check=[HealthCheck.too_slow],
-    )
+    @_REPEATABLE
     @given(_histories(_FAULTS))
     def test_any_history(
         self, history: list[tuple[_Fault, int, float]]
@@ -180,23 +178,13 @@
         """Guards against a history that breaks a promise."""
         run_with_clock(partial(self._play, history))
 
-    @settings(
-        derandomize=True,
-        max_examples=_EXAMPLES_COUNT,
-        deadline=None,
-        suppress_health_check=[HealthCheck.too_slow],
-    )
+    @_REPEATABLE
     @given(_histories(_RIVAL_FAULTS))
     def test_rivals(self, history: list[tuple[_Fault, int, float]]) -> None:
         """Guards against two owners when a living one is taken for dead."""
         run_with_clock(partial(self._play, history, entries_count=3))
 
-    @settings(
-        derandomize=True,
-        max_examples=_EXAMPLES_COUNT,
-        deadline=None,
-        suppress_health_check=[HealthCheck.too_slow],
-    )
+    @_REPEATABLE
     @given(_histories(_LATE_FAULTS))
     def test_late_owners(
         self, history: list[tuple[_Fault, int, float]]
