--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -245,7 +245,7 @@
         return Tenure(self.cell, lease, revision, valid_until_s, boot_s())
 
     def _encode_record(self) -> bytes:
-        """Return the record to write, which differs from that of any write."""
+        """Return the record to write; no other write has an equal one."""
         return encode(structs.replace(self.record, nonce=random_id()))
 
     async def _find_written(self, write: Write) -> int | None:
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -77,7 +77,8 @@
     The times and numbers in an order are those of one incarnation, and the
     worker's id doesn't tell another one, which would carry the order out. An
     order is therefore sent only on a connection on which the incarnation has
-    answered a poll. ``on_replaced`` is called when another one answers.
+    answered a poll; only a stop before the first poll goes to any incarnation.
+    ``on_replaced`` is called when another one answers.
     """
 
     worker: Worker
