Keep the checkpoint of a run that ends with its worker's restart

Callers saw lasting and long tasks begin again from an older checkpoint, or from none, after their worker had started again under its id, though the worker had reported a newer one. A run whose leases lapsed kept it. Cause: the end of a run of a former incarnation was recorded with an empty checkpoint.

--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -173,7 +173,7 @@
                 run_isolated, 'stop order', self.orders.stop, run
             )
         else:
-            self.owner.end_run(run, RunEnd.VANISHED, '')
+            self.owner.end_run(run, RunEnd.VANISHED, run.checkpoint)
 
     def _process_ends(self, report: HoldReport) -> None:
         for ended in report.ended:
--- a/standins/simulated_worker.py
+++ b/standins/simulated_worker.py
@@ -3,8 +3,9 @@
 A task's payload controls the run: ``ms=150`` makes it take 150 ms, and with
 ``more=20`` each task of a step takes 20 ms longer than the one before. ``fail``
 makes it end as failed after that time; with ``hang`` or ``last`` it makes no
-progress, and with ``serve`` it is at work and never complete. The current time
-is an argument; the worker's own clock starts anew when the worker starts.
+progress, and with ``serve`` it is at work and never complete. With ``save`` its
+checkpoint is its progress in percent. The current time is an argument; the
+worker's own clock starts anew when the worker starts.
 """
 
 from __future__ import annotations
@@ -43,7 +44,8 @@
     """What a worker did with one run, for checks after the fact.
 
     ``ended_s`` is ``None`` while the run is at work, and ``acknowledged_s``
-    until the owner has acknowledged the end. ``how`` is the way it ended.
+    until the owner has acknowledged the end. ``how`` is the way it ended, and
+    ``resumed_from`` the checkpoint in its start order.
     """
 
     task: TaskId
@@ -52,6 +54,7 @@
     ended_s: float | None = None
     how: str = ''
     acknowledged_s: float | None = None
+    resumed_from: str = ''
 
 
 @dataclass(slots=True)
@@ -144,7 +147,9 @@
             return OrderAnswer(OrderOutcome.RUN_TOO_OLD, clock_ms)
         if len(self.running) >= self.capacity:
             return OrderAnswer(OrderOutcome.NO_ROOM, clock_ms)
-        history = RunHistory(order.task, order.run, now_s)
+        history = RunHistory(
+            order.task, order.run, now_s, resumed_from=order.checkpoint
+        )
         self.history.append(history)
         self.running[order.task] = _Run(
             order.task,
@@ -197,8 +202,8 @@
                 RunReport(
                     run.task,
                     run.number,
-                    '',
-                    int(min(_FULL_PERCENT, self._progress_percent(run, now_s))),
+                    self._checkpoint(run, now_s),
+                    self._progress_percent(run, now_s),
                     0,
                 )
                 for run in self.running.values()
@@ -237,13 +242,19 @@
         allowed_ms = min(expires_ms, clock_ms + self.max_hold_ms)
         self.lease_end_ms = max(self.lease_end_ms, allowed_ms)
 
-    def _progress_percent(self, run: _Run, now_s: float) -> float:
+    def _checkpoint(self, run: _Run, now_s: float) -> str:
+        if 'save' not in run.payload:
+            return ''
+        return str(self._progress_percent(run, now_s))
+
+    def _progress_percent(self, run: _Run, now_s: float) -> int:
         if 'serve' in run.payload:
             return _FULL_PERCENT
         if run.complete_at_s() == math.inf:
             return 0
         passed_ms = (now_s - run.started_s) * _MS_PER_S
-        return _FULL_PERCENT * passed_ms / run.duration_ms
+        percent = int(_FULL_PERCENT * passed_ms / run.duration_ms)
+        return min(_FULL_PERCENT, percent)
 
     def _end_run(self, run: _Run, how: RunEnd, ended_s: float) -> None:
         run.history.ended_s = ended_s
--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -131,6 +131,21 @@
         """Guards against an answer judged by an address it didn't come from."""
         run_with_clock(self._listing_changes_while_a_poll_waits)
 
+    def test_worker_restarts_after_a_checkpoint(self) -> None:
+        """Guards against work that is done again though it was saved."""
+        run_with_clock(self._restarts_after_a_checkpoint)
+
+    async def _restarts_after_a_checkpoint(self) -> None:
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            saving = job_request('saving', payload='ms=10000 save')
+            await cluster.submit(saving)
+            await trio.sleep(_FORMER_LIFE_S / 5)
+            worker = cluster.restart_worker(_RESTARTED)
+            await cluster.wait_until(lambda: bool(worker.running))
+            resumed_from = worker.history[-1].resumed_from
+            self.assertGreaterEqual(int(resumed_from or 0), 40)
+
     async def _order_finds_no_connection(self) -> None:
         async with open_cluster((_RESTARTED,)) as (cluster, nursery):
             await _elect(cluster, nursery)
