Place runs by the listing of the incarnation that answers, no other

Until its own listing was read, a restarted worker got runs by the kind, labels and capacity of its former life, once a poll had reached it. Class: state of one life of a process, used with the next life of the same id.

The listing tells a start time, as each report does. While both are known and differ, the worker takes no new runs; a listing that lapses ends that as well.

test_restarted_worker_is_of_another_kind failed before (a task that needs kind a was started at a worker that had come back as kind b); test_restarted_worker_is_listed_again shows that runs are placed there again.

--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -169,11 +169,22 @@
             and failures > _QUARANTINE_FAILURE_RATIO * successes
         )
 
+    @property
+    def is_listing_current(self) -> bool:
+        """Whether the listing is that of the incarnation that answered.
+
+        The capacity and the labels of another one may differ. A listing
+        without a start time counts as current.
+        """
+        is_known = self.listing.born_ms and self.born_ms
+        return not is_known or self.listing.born_ms == self.born_ms
+
     def is_usable(self, now_s: float) -> bool:
         """Whether the worker takes new runs at all, whatever their size."""
         return (
             self.listing.state is WorkerState.READY
             and self.is_reachable
+            and self.is_listing_current
             and self.blocked_until_s <= now_s
             and not self.is_quarantined(now_s)
         )
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -149,8 +149,13 @@
         state: WorkerState = WorkerState.READY,
         remaining_ms: int | None = None,
         data_centre: str = 'plovdiv',
+        kind: str = 'a',
+        tells_start: bool = False,
     ) -> SimulatedWorker:
-        """Add a worker to the list, or change its state there."""
+        """Add a worker to the list, or change what is listed there.
+
+        A listing that ``tells_start`` has the start time of the incarnation.
+        """
         worker_id = WorkerId(name)
         worker = self.workers.setdefault(
             worker_id,
@@ -164,7 +169,8 @@
             data_centre=DataCentreId(data_centre),
             state=state,
             capacity=Resources(8_000, 8_000, 0),
-            labels=('a', 'r1'),
+            labels=(kind, 'r1'),
+            born_ms=worker.born_ms if tells_start else 0,
             remaining_ms=remaining_ms,
         )
         await self._store(f'servers/{name}', name.encode())
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -165,6 +165,11 @@
     'the start time of a worker tells its incarnation': lambda: patch.object(
         ReportProcessor, '_is_same_incarnation', _is_same_by_clock
     ),
+    'a worker gets runs only by the listing of its incarnation': lambda: (
+        patch.object(
+            Worker, 'is_listing_current', PropertyMock(return_value=True)
+        )
+    ),
     'a missing run may still start': lambda: patch(
         f'{ReportProcessor.__module__}._has_certainly_ended', _always
     ),
--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -131,10 +131,41 @@
         """Guards against an answer judged by an address it didn't come from."""
         run_with_clock(self._listing_changes_while_a_poll_waits)
 
+    def test_restarted_worker_is_of_another_kind(self) -> None:
+        """Guards against a start by the labels of a former incarnation."""
+        run_with_clock(self._restarted_as_another_kind)
+
+    def test_restarted_worker_is_listed_again(self) -> None:
+        """Guards against a restarted worker that gets no runs any more."""
+        run_with_clock(self._listed_again)
+
     def test_worker_restarts_after_a_checkpoint(self) -> None:
         """Guards against work that is done again though it was saved."""
         run_with_clock(self._restarts_after_a_checkpoint)
 
+    async def _restarted_as_another_kind(self) -> None:
+        async with open_cluster(()) as (cluster, nursery):
+            await cluster.add_worker(_RESTARTED, kind='a', tells_start=True)
+            await _elect(cluster, nursery)
+            worker = cluster.restart_worker(_RESTARTED)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            request = job_request('aa', step(required_label='a'))
+            await cluster.submit(request)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            await cluster.add_worker(_RESTARTED, kind='b', tells_start=True)
+            await cluster.add_worker('w2', kind='a')
+            await cluster.wait_until_done(request)
+            self.assertFalse(worker.starts)
+
+    async def _listed_again(self) -> None:
+        async with open_cluster(()) as (cluster, nursery):
+            await cluster.add_worker(_RESTARTED, tells_start=True)
+            await _elect(cluster, nursery)
+            cluster.restart_worker(_RESTARTED)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            await cluster.add_worker(_RESTARTED, tells_start=True)
+            await _finish_early_job(cluster)
+
     async def _restarts_after_a_checkpoint(self) -> None:
         async with open_cluster((_RESTARTED,)) as (cluster, nursery):
             await _elect(cluster, nursery)
