Notice a restarted worker by its listing, not only by a poll that times out

After a restart in the dark, a poll under way waits for its timeout, two to three seconds. Meanwhile the tasks that ended with the worker count as running, and orders are planned for an incarnation that is gone. The new incarnation's listing is read long before.

A listing with another start time than before now ends the poll, and the next one finds out which incarnation is there. It proves nothing by itself: runs end only by the answer of the new incarnation.

test_listing_tells_a_restart failed before: 2.1 s from the listing to the start of the lost task, where 0.6 s are asked for.

--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -100,7 +100,7 @@
             self.owner,
             self.context,
             self.clock,
-            self._interrupt_poll,
+            self.interrupt_poll,
         )
         self._reports = ReportProcessor(
             self.worker,
@@ -204,8 +204,11 @@
         )
         return _FetchedReport(report, address, sent_s)
 
-    def _interrupt_poll(self) -> None:
-        """End a poll of an incarnation that another one has replaced."""
+    def interrupt_poll(self) -> None:
+        """End a poll of an incarnation that another one has replaced.
+
+        The next one finds out which incarnation is there.
+        """
         self._poll_scope.cancel()
 
     def _wait_ms(self) -> int:
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -199,7 +199,16 @@
                 worker=listing.worker_id,
                 state=listing.state.value,
             )
+        former_born_ms = worker.listing.born_ms
         worker.listing = listing
+        if listing.born_ms not in {0, former_born_ms, worker.born_ms}:
+            _LOG.info(
+                'worker listed by another incarnation',
+                worker=listing.worker_id,
+                born_ms=listing.born_ms,
+                previous_born_ms=worker.born_ms,
+            )
+            self.links[listing.worker_id].interrupt_poll()
 
     def _add_worker(self, worker: Worker) -> None:
         """Track a new worker, and reserve for the runs placed there before."""
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -157,7 +157,7 @@
         WorkerOrders, '_open_connection', _never_connected
     ),
     'an order that finds another incarnation ends its poll': lambda: (
-        patch.object(WorkerLink, '_interrupt_poll', _never)
+        patch.object(WorkerLink, 'interrupt_poll', _never)
     ),
     'an order reaches only the incarnation it is meant for': lambda: (
         patch.object(WorkerOrders, 'incarnation', WorkerOrders.address)
--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -41,6 +41,9 @@
 _LATE_ORDER_DELAY_S = 2
 _LISTING_DELAY_S = 0.8
 _LATE_ANSWER_DELAY_S = 0.9
+
+# A listing is read within this time, and a poll under way waits for longer.
+_LISTED_S = 0.6
 _CLOCK_LEAD_MS = 3_000
 
 
@@ -139,6 +142,10 @@
         """Guards against a restarted worker that gets no runs any more."""
         run_with_clock(self._listed_again)
 
+    def test_listing_tells_a_restart(self) -> None:
+        """Guards against lost tasks that wait for a poll to time out."""
+        run_with_clock(self._listing_tells_a_restart)
+
     def test_worker_restarts_after_a_checkpoint(self) -> None:
         """Guards against work that is done again though it was saved."""
         run_with_clock(self._restarts_after_a_checkpoint)
@@ -166,6 +173,17 @@
             await cluster.add_worker(_RESTARTED, tells_start=True)
             await _finish_early_job(cluster)
 
+    async def _listing_tells_a_restart(self) -> None:
+        async with open_cluster(()) as (cluster, nursery):
+            former = await cluster.add_worker(_RESTARTED, tells_start=True)
+            await _elect(cluster, nursery)
+            await _start_long_task(cluster, former)
+            worker = await _restart_in_the_dark(cluster)
+            began_s = trio.current_time()
+            await cluster.add_worker(_RESTARTED, tells_start=True)
+            await cluster.wait_until(lambda: bool(worker.running))
+            self.assertLess(trio.current_time() - began_s, _LISTED_S)
+
     async def _restarts_after_a_checkpoint(self) -> None:
         async with open_cluster((_RESTARTED,)) as (cluster, nursery):
             await _elect(cluster, nursery)
