--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -181,10 +181,11 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Whether the worker takes new runs at all, whatever their size."""
+        is_ready = self.listing.state is WorkerState.READY
+        if not is_ready or not self.is_listing_current:
+            return False
         return (
-            self.listing.state is WorkerState.READY
-            and self.is_reachable
-            and self.is_listing_current
+            self.is_reachable
             and self.blocked_until_s <= now_s
             and not self.is_quarantined(now_s)
         )
