Keep tickets and refusals by the incarnation that was asked about

A ticket is valid during one life of its worker. It was kept by the worker's id, so starts at the next incarnation carried it and were refused. A worker that restarted while the advice service was asked about it was also marked as refused in its new life, and its step might never run there. Class: state of one life of a process, used with the next life of the same id.

Both now belong to the incarnation known when the service was asked; a step with no valid ticket left asks again at once.

test_ticket_of_a_former_incarnation and test_worker_restarts_while_asked_about failed before.

--- a/src/marjoramwharf/cells/advice.py
+++ b/src/marjoramwharf/cells/advice.py
@@ -69,12 +69,12 @@
 class _StepTickets:
     """Tickets of one step, and the workers that got none when asked for.
 
-    A refusal holds for the life of a worker, which its start time identifies.
-    Since the latest ticket, ``failures_count`` attempts brought none; the next
+    A ticket, like a refusal, holds for the life of a worker that the service
+    was asked about, which its start time identifies. Since the latest ticket, ``failures_count`` attempts brought none; the next
     one is made at ``next_attempt_s`` at the earliest.
     """
 
-    tickets: dict[WorkerId, str] = field(default_factory=dict)
+    tickets: dict[_WorkerLife, str] = field(default_factory=dict)
     usable_until_s: float = 0
     refused: set[_WorkerLife] = field(default_factory=set)
     failures_count: int = 0
@@ -91,20 +91,20 @@
 
     def record_answer(
         self,
-        workers: Sequence[Worker],
+        lives: Sequence[_WorkerLife],
         advice: Advice,
         *,
         asked_s: float,
         now_s: float,
     ) -> None:
         """Keep the tickets and the refusals of an answer."""
-        self.tickets = advice.tickets
-        self.refused.update(
-            _life_of(worker)
-            for worker in workers
-            if worker.worker_id not in advice.tickets
-        )
-        if not advice.tickets:
+        self.tickets = {
+            life: advice.tickets[life[0]]
+            for life in lives
+            if life[0] in advice.tickets
+        }
+        self.refused.update(set(lives) - self.tickets.keys())
+        if not self.tickets:
             self.record_failure(now_s, pause_s=0)
             return
         valid_s = advice.valid_ms / _MS_PER_S
@@ -140,7 +140,15 @@
         if cached is None or cached.usable_until_s <= boot_s():
             self._wake_event.set()
             return {}
-        return cached.tickets
+        valid = {
+            worker_id: ticket
+            for (worker_id, born_ms), ticket in cached.tickets.items()
+            if self._is_alive(worker_id, born_ms)
+        }
+        if not valid:
+            cached.usable_until_s = 0
+            self._wake_event.set()
+        return valid
 
     async def run(self) -> None:
         """Request missing tickets until cancelled."""
@@ -151,6 +159,11 @@
             else:
                 await self._request_tickets(task)
 
+    def _is_alive(self, worker_id: WorkerId, born_ms: int) -> bool:
+        """Whether the incarnation of a worker is still the one known."""
+        worker = self.fleet.workers.get(worker_id)
+        return worker is not None and worker.born_ms == born_ms
+
     def _advice_policy(self, task: Task) -> AdvicePolicy | None:
         configuration = self.configuration()
         if configuration is None or self.client is None:
@@ -189,11 +202,12 @@
         if policy is None or self.client is None or not workers:
             step_tickets.record_failure(now_s, pause_s=_IDLE_POLL_S)
             return
+        lives = [_life_of(worker) for worker in workers]
         expected_ms = policy.decision_ms + policy.per_worker_ms * len(workers)
         try:
             advice = await self.client.advise(
                 task.name.rpartition('.')[0],
-                [worker.worker_id for worker in workers],
+                [worker_id for worker_id, _ in lives],
                 timeout_s=1 + 2 * expected_ms / _MS_PER_S,
             )
         except Failure as failure:
@@ -202,9 +216,7 @@
                 boot_s(), pause_s=_retry_pause_s(step_tickets.failures_count)
             )
             return
-        step_tickets.record_answer(
-            workers, advice, asked_s=now_s, now_s=boot_s()
-        )
+        step_tickets.record_answer(lives, advice, asked_s=now_s, now_s=boot_s())
         _LOG.info(
             'advice',
             step=task.name,
--- a/tests/cells/test_advice.py
+++ b/tests/cells/test_advice.py
@@ -132,6 +132,35 @@
         """Guards against a refused step that never learns of a new worker."""
         run_with_clock(self._worker_joins)
 
+    def test_worker_restarts_while_asked_about(self) -> None:
+        """Guards against a refusal that counts for the next incarnation."""
+        run_with_clock(self._worker_restarts_while_asked_about)
+
+    def test_ticket_of_a_former_incarnation(self) -> None:
+        """Guards against a start with a ticket that is no longer valid."""
+        run_with_clock(self._ticket_of_a_former_incarnation)
+
+    async def _worker_restarts_while_asked_about(self) -> None:
+        async with _running_cache(workers_count=1) as setup:
+            job = setup.add_job('bad')
+            setup.service.hopeless.add(job.job_id)
+            await trio.sleep(_CALL_S / 2)
+            _restart(setup.fleet)
+            await trio.sleep(_CALL_S)
+            setup.service.hopeless.clear()
+            await trio.sleep(_WAIT_S)
+            self.assertTrue(setup.has_tickets(job))
+
+    async def _ticket_of_a_former_incarnation(self) -> None:
+        async with _running_cache(workers_count=1) as setup:
+            job = setup.add_job('a')
+            await trio.sleep(2 * _CALL_S)
+            self.assertTrue(setup.has_tickets(job))
+            _restart(setup.fleet)
+            self.assertFalse(setup.has_tickets(job))
+            await trio.sleep(2 * _CALL_S)
+            self.assertTrue(setup.has_tickets(job))
+
     async def _no_worker_is_good(self) -> None:
         async with _running_cache() as setup:
             setup.service.hopeless.add(setup.add_job('bad').job_id)
@@ -186,3 +215,9 @@
             setup.fleet.workers[joined.worker_id] = joined
             await trio.sleep(_WAIT_S / 2)
             self.assertTrue(setup.has_tickets(job))
+
+
+def _restart(fleet: Fleet) -> None:
+    """Let another incarnation of each worker answer."""
+    for worker in fleet.workers.values():
+        worker.born_ms += 1
