Split the wiring of the entry from its start and stop

The wiring is a module of its own now. The daemon of the users' platform is another module and stays as it is.

--- a/tests/programs/test_gauges.py
+++ b/tests/programs/test_gauges.py
@@ -13,7 +13,7 @@
 from marjoramwharf.links.directory import DirectoryClient
 from marjoramwharf.links.resilient_store import ResilientStore
 from marjoramwharf.links.store import Urgency
-from marjoramwharf.programs.entry import Entry
+from marjoramwharf.programs._entry_parts import Entry
 from marjoramwharf.settings import EntrySettings
 from standins.memory_store import MemoryStore
 
