Show that the ends of an incarnation are told apart by its start time

No test noticed the mutant 'the start time of a worker tells its incarnation' (listed in KNOWN-RED.txt): all restarted stand-ins showed a clock behind that of before. With a clock ahead, the mutant takes the ends of the new incarnation for those of the former one, which it numbers alike, and starts a done task again.

The tests of the next incarnation are a class of their own now.

--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -63,6 +63,16 @@
     await trio.sleep(0.1)
 
 
+async def _finish_job_once(cluster: Cluster) -> None:
+    """Run a job of one task, which must start once at the present workers."""
+    late = job_request('late', payload='ms=50')
+    await cluster.submit(late)
+    await cluster.wait_until_done(late)
+    starts = list(cluster.starts().values())
+    if starts != [1]:
+        raise AssertionError(f'numbers of starts of each task: {starts}')
+
+
 async def _restart_in_the_dark(
     cluster: Cluster, *, clock_origin_ms: int = 0
 ) -> SimulatedWorker:
@@ -134,67 +144,6 @@
         """Guards against an answer judged by an address it didn't come from."""
         run_with_clock(self._listing_changes_while_a_poll_waits)
 
-    def test_restarted_worker_is_of_another_kind(self) -> None:
-        """Guards against a start by the labels of a former incarnation."""
-        run_with_clock(self._restarted_as_another_kind)
-
-    def test_restarted_worker_is_listed_again(self) -> None:
-        """Guards against a restarted worker that gets no runs any more."""
-        run_with_clock(self._listed_again)
-
-    def test_listing_tells_a_restart(self) -> None:
-        """Guards against lost tasks that wait for a poll to time out."""
-        run_with_clock(self._listing_tells_a_restart)
-
-    def test_worker_restarts_after_a_checkpoint(self) -> None:
-        """Guards against work that is done again though it was saved."""
-        run_with_clock(self._restarts_after_a_checkpoint)
-
-    async def _restarted_as_another_kind(self) -> None:
-        async with open_cluster(()) as (cluster, nursery):
-            await cluster.add_worker(_RESTARTED, kind='a', tells_start=True)
-            await _elect(cluster, nursery)
-            worker = cluster.restart_worker(_RESTARTED)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            request = job_request('aa', step(required_label='a'))
-            await cluster.submit(request)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            await cluster.add_worker(_RESTARTED, kind='b', tells_start=True)
-            await cluster.add_worker('w2', kind='a')
-            await cluster.wait_until_done(request)
-            self.assertFalse(worker.starts)
-
-    async def _listed_again(self) -> None:
-        async with open_cluster(()) as (cluster, nursery):
-            await cluster.add_worker(_RESTARTED, tells_start=True)
-            await _elect(cluster, nursery)
-            cluster.restart_worker(_RESTARTED)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            await cluster.add_worker(_RESTARTED, tells_start=True)
-            await _finish_early_job(cluster)
-
-    async def _listing_tells_a_restart(self) -> None:
-        async with open_cluster(()) as (cluster, nursery):
-            former = await cluster.add_worker(_RESTARTED, tells_start=True)
-            await _elect(cluster, nursery)
-            await _start_long_task(cluster, former)
-            worker = await _restart_in_the_dark(cluster)
-            began_s = trio.current_time()
-            await cluster.add_worker(_RESTARTED, tells_start=True)
-            await cluster.wait_until(lambda: bool(worker.running))
-            self.assertLess(trio.current_time() - began_s, _LISTED_S)
-
-    async def _restarts_after_a_checkpoint(self) -> None:
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            saving = job_request('saving', payload='ms=10000 save')
-            await cluster.submit(saving)
-            await trio.sleep(_FORMER_LIFE_S / 5)
-            worker = cluster.restart_worker(_RESTARTED)
-            await cluster.wait_until(lambda: bool(worker.running))
-            percent = int(worker.start_checkpoints[-1] or 0)
-            self.assertGreaterEqual(percent, 40)
-
     async def _order_finds_no_connection(self) -> None:
         async with open_cluster((_RESTARTED,)) as (cluster, nursery):
             await _elect(cluster, nursery)
@@ -309,7 +258,83 @@
             delays_s.append(_LATE_ANSWER_DELAY_S)
             await cluster.wait_until(lambda: not delays_s)
             cluster.restart_worker(_RESTARTED)
-            late = job_request('late', payload='ms=50')
-            await cluster.submit(late)
-            await cluster.wait_until_done(late)
-            self.assertEqual([1], list(cluster.starts().values()))
+            await _finish_job_once(cluster)
+
+
+class NextIncarnationTests(unittest.TestCase):
+    """Guards against state of a former incarnation used with the next one."""
+
+    def test_restarted_worker_is_of_another_kind(self) -> None:
+        """Guards against a start by the labels of a former incarnation."""
+        run_with_clock(self._restarted_as_another_kind)
+
+    def test_restarted_worker_is_listed_again(self) -> None:
+        """Guards against a restarted worker that gets no runs any more."""
+        run_with_clock(self._listed_again)
+
+    def test_listing_tells_a_restart(self) -> None:
+        """Guards against lost tasks that wait for a poll to time out."""
+        run_with_clock(self._listing_tells_a_restart)
+
+    def test_worker_restarts_after_a_checkpoint(self) -> None:
+        """Guards against work that is done again though it was saved."""
+        run_with_clock(self._restarts_after_a_checkpoint)
+
+    def test_ends_of_an_incarnation_with_its_clock_ahead(self) -> None:
+        """Guards against ends that are taken for those of a former one."""
+        run_with_clock(self._ends_with_the_clock_ahead)
+
+    async def _restarted_as_another_kind(self) -> None:
+        async with open_cluster(()) as (cluster, nursery):
+            await cluster.add_worker(_RESTARTED, kind='a', tells_start=True)
+            await _elect(cluster, nursery)
+            worker = cluster.restart_worker(_RESTARTED)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            request = job_request('aa', step(required_label='a'))
+            await cluster.submit(request)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            await cluster.add_worker(_RESTARTED, kind='b', tells_start=True)
+            await cluster.add_worker('w2', kind='a')
+            await cluster.wait_until_done(request)
+            self.assertFalse(worker.starts)
+
+    async def _listed_again(self) -> None:
+        async with open_cluster(()) as (cluster, nursery):
+            await cluster.add_worker(_RESTARTED, tells_start=True)
+            await _elect(cluster, nursery)
+            cluster.restart_worker(_RESTARTED)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            await cluster.add_worker(_RESTARTED, tells_start=True)
+            await _finish_early_job(cluster)
+
+    async def _listing_tells_a_restart(self) -> None:
+        async with open_cluster(()) as (cluster, nursery):
+            former = await cluster.add_worker(_RESTARTED, tells_start=True)
+            await _elect(cluster, nursery)
+            await _start_long_task(cluster, former)
+            worker = await _restart_in_the_dark(cluster)
+            began_s = trio.current_time()
+            await cluster.add_worker(_RESTARTED, tells_start=True)
+            await cluster.wait_until(lambda: bool(worker.running))
+            self.assertLess(trio.current_time() - began_s, _LISTED_S)
+
+    async def _restarts_after_a_checkpoint(self) -> None:
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            saving = job_request('saving', payload='ms=10000 save')
+            await cluster.submit(saving)
+            await trio.sleep(_FORMER_LIFE_S / 5)
+            worker = cluster.restart_worker(_RESTARTED)
+            await cluster.wait_until(lambda: bool(worker.running))
+            percent = int(worker.start_checkpoints[-1] or 0)
+            self.assertGreaterEqual(percent, 40)
+
+    async def _ends_with_the_clock_ahead(self) -> None:
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            await _finish_early_job(cluster)
+            former = cluster.workers[_RESTARTED]
+            origin_ms = former.clock_ms(trio.current_time()) + _CLOCK_LEAD_MS
+            cluster.restart_worker(_RESTARTED, clock_origin_ms=origin_ms)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            await _finish_job_once(cluster)
