--- a/src/marjoramwharf/cells/advice.py
+++ b/src/marjoramwharf/cells/advice.py
@@ -70,8 +70,9 @@
     """Tickets of one step, and the workers that got none when asked for.
 
     A ticket, like a refusal, holds for the life of a worker that the service
-    was asked about, which its start time identifies. Since the latest ticket, ``failures_count`` attempts brought none; the next
-    one is made at ``next_attempt_s`` at the earliest.
+    was asked about, which its start time identifies. Since the latest ticket,
+    ``failures_count`` attempts brought none; the next one is made at
+    ``next_attempt_s`` at the earliest.
     """
 
     tickets: dict[_WorkerLife, str] = field(default_factory=dict)
--- a/standins/simulated_worker.py
+++ b/standins/simulated_worker.py
@@ -78,8 +78,9 @@
 
     ``capacity`` is the number of concurrent runs. Four lists are for tests to
     check: ``starts`` has every start that was carried out, ``start_times``
-    their times, ``start_checkpoints`` the checkpoints in their orders, and ``acknowledged_completions`` the tasks that ended as done
-    and whose end the owner acknowledged, each with the time of its end.
+    their times, ``start_checkpoints`` the checkpoints in their orders, and
+    ``acknowledged_completions`` the tasks that ended as done and whose end the
+    owner acknowledged, each with the time of its end.
     ``history`` has all runs. The worker's own clock shows ``clock_origin_ms`` at
     ``born_s``.
     """
