Split two long files of the tests and stand-ins

The requests about tasks, and the region that the tests of lending use, are modules of their own now.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -27,20 +27,15 @@
 from quart_trio import QuartTrio
 
 from marjoramwharf import jsonc
-from marjoramwharf.ids import CallId, EntryId, Epoch, GrantId, TaskId
+from marjoramwharf.ids import CallId, EntryId, Epoch, GrantId
 from marjoramwharf.machines.agent_messages import (
     EXPECTED_INCARNATION_HEADER,
     INCARNATION_HEADER,
     LeaseRequest,
-    RefusalReply,
-    StopRequest,
-    ThrottleRequest,
 )
 from marjoramwharf.machines.calls import (
     CallAnswer,
     LeaseReply,
-    TaskStart,
-    WorkerRefusal,
 )
 from standins._worker_replies import (
     as_json,
@@ -48,8 +43,8 @@
     read_request_body,
     refusal_answer,
     truncated_body,
-    unknown_task_report,
 )
+from standins._worker_task_routes import TaskRoutes
 from standins.worker_state import (
     CallRecord,
     Faults,
@@ -287,50 +282,6 @@
             await trio.aclose_forcefully(connection.stream)
 
 
-class TaskRoutes:
-    """Handles the requests about tasks and usage."""
-
-    def __init__(self, state: WorkerState) -> None:
-        """Handle requests on ``state``."""
-        self._state = state
-
-    async def start_task(self, task_id: str) -> Response:
-        """Start an attempt of a task."""
-        body = await read_request_body()
-        start = msgspec.json.decode(body, type=TaskStart)
-        report = self._state.start_task(start, time.monotonic())
-        if isinstance(report, WorkerRefusal):
-            return as_json(RefusalReply(report), status=409)
-        return as_json(report)
-
-    async def stop_task(self, task_id: str) -> Response:
-        """Stop an attempt of a task."""
-        body = await read_request_body()
-        call = msgspec.json.decode(body, type=StopRequest)
-        report = self._state.tasks.stop(
-            TaskId(task_id),
-            call.fence,
-            time.monotonic(),
-            with_checkpoint=call.with_checkpoint,
-        )
-        return as_json(report or unknown_task_report(task_id, call.fence))
-
-    async def throttle_task(self, task_id: str) -> Response:
-        """Limit a task to a share of its processors."""
-        body = await read_request_body()
-        call = msgspec.json.decode(body, type=ThrottleRequest)
-        report = self._state.tasks.throttle(
-            TaskId(task_id),
-            call.cpu_share,
-            time.monotonic(),
-        )
-        return as_json(report or unknown_task_report(task_id, (0, 0)))
-
-    async def usage(self) -> Response:
-        """Return the usage report, which lags by ``usage_lag_ms``."""
-        return as_json(self._state.usage(time.monotonic()))
-
-
 async def serve_worker(
     config: WorkerConfig,
     *,
--- a/tests/contracts/test_lending.py
+++ b/tests/contracts/test_lending.py
@@ -2,160 +2,35 @@
 
 from __future__ import annotations
 
-import random
 import unittest
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-from dataclasses import replace
-from typing import Any
 
 import trio
-from trio.testing import MockClock
 
-from marjoramwharf.contracts.allocator import CapacityAllocator
 from marjoramwharf.contracts.lending import CapacityManager, assign_workers
-from marjoramwharf.contracts.permits import Permit
 from marjoramwharf.errors import (
     PeerRefused,
-    PeerUnreachable,
-    WorkerUnreachable,
 )
 from marjoramwharf.ids import (
-    CallId,
-    DataCentreId,
     EntryId,
     Epoch,
-    GrantId,
     Incarnation,
     ShardId,
     WorkerId,
 )
-from marjoramwharf.links.peer_messages import Message, PeerIdentity
+from marjoramwharf.links.peer_messages import Message
 from marjoramwharf.links.thrift_types.peer import ttypes
-from marjoramwharf.machines.calls import LeaseReply, WorkerRefusal
-from marjoramwharf.machines.worker import Capacity, Worker
+from marjoramwharf.machines.calls import WorkerRefusal
+from marjoramwharf.machines.worker import Worker
 from marjoramwharf.settings import CapacitySettings
-from tests.contracts.lending_model import (
-    SERVICE,
-    WORKER,
-    ModelWorker,
-    make_permit_pool,
+from tests.contracts.lending_region import (
+    LENT_WORKER,
+    WORKER_ID,
+    Peer,
+    Region,
+    open_region,
+    run_with_clock,
 )
 
-_DELAY_S = 0.005
-_WORKER_ID = WORKER.worker_id
-_WORKER = replace(WORKER, capacity=Capacity(8, 64, 4000, 8000, 1))
-
-
-class _Agent:
-    """A worker agent that forwards the lease call to a model worker."""
-
-    def __init__(self) -> None:
-        self.worker = ModelWorker()
-        self.leaving = False
-        self.is_reachable = True
-
-    async def lease(
-        self,
-        epoch: Epoch,
-        *,
-        revoked: tuple[GrantId, ...],
-        lease_ms: int,
-    ) -> LeaseReply:
-        await trio.sleep(_DELAY_S)
-        if not self.is_reachable:
-            raise WorkerUnreachable(message='no route')
-        reply = self.worker.lease(epoch, list(revoked))
-        return LeaseReply(
-            reply.epoch,
-            self.leaving,
-            reply.running,
-            (),
-            reply.connections,
-        )
-
-
-class _Peer:
-    """A peer client that calls the handlers of another entry."""
-
-    def __init__(self, region: _Region, sender: str, receiver: str) -> None:
-        self._region = region
-        self._sender = _identity(sender)
-        self._receiver = receiver
-
-    async def call(self, message: Message, *, timeout_s: float) -> Message:
-        if self._region.is_partitioned:
-            await trio.sleep(timeout_s)
-            raise PeerUnreachable(message='cut')
-        await trio.sleep(_DELAY_S)
-        self._region.messages_count += 1
-        capacity_manager = self._region.managers[self._receiver]
-        handle = capacity_manager.handlers()[type(message)]
-        reply = await handle(self._sender, message)
-        await trio.sleep(_DELAY_S)
-        return reply
-
-
-class _Region:
-    """Two entries, of which the first owns the only worker."""
-
-    def __init__(self) -> None:
-        self.is_partitioned = False
-        self.messages_count = 0
-        self.agent = _Agent()
-        self.superseded: list[WorkerId] = []
-        self.managers: dict[str, CapacityManager] = {}
-        for name, other in (('e1', 'e2'), ('e2', 'e1')):
-            self.managers[name] = self._capacity_manager(name, other)
-
-    async def acquire(self, name: str) -> Permit | None:
-        """Acquire a permit at one entry."""
-        now_s = trio.current_time()
-        return await self.managers[name].acquire(SERVICE, (), now_s)
-
-    def send(self, name: str, permit: Permit) -> bool:
-        """Run a call at the worker; return whether it accepts the call."""
-        call_id = CallId(f'{name}/{permit.serial}')
-        return self.agent.worker.accept(call_id, permit, EntryId(name))
-
-    def _capacity_manager(self, name: str, other: str) -> CapacityManager:
-        peers = {EntryId(other): _Peer(self, name, other)}
-        capacity_manager = CapacityManager(
-            _identity(name),
-            CapacitySettings(),
-            make_permit_pool(),
-            allocator=CapacityAllocator(),
-            get_agent=lambda _worker_id: self.agent,  # type: ignore[arg-type, return-value]
-            peers=lambda: peers,
-            rng=random.Random(1),
-        )
-        capacity_manager.heartbeats.on_superseded = self.superseded.append
-        return capacity_manager
-
-
-@asynccontextmanager
-async def _region() -> AsyncIterator[_Region]:
-    region = _Region()
-    async with trio.open_nursery() as nursery:
-        for capacity_manager in region.managers.values():
-            await nursery.start(capacity_manager.run)
-        region.managers['e1'].own(_WORKER, Epoch(1))
-        await trio.sleep(2.5)
-        yield region
-        nursery.cancel_scope.cancel()
-
-
-def _identity(name: str) -> PeerIdentity:
-    return PeerIdentity(
-        EntryId(name),
-        Incarnation(f'{name}-1'),
-        DataCentreId('dc-1'),
-    )
-
-
-def _run(scenario: Callable[[], Awaitable[Any]]) -> Any:
-    return trio.run(scenario, clock=MockClock(autojump_threshold=0))
-
 
 class LendingTests(unittest.TestCase):
     """Guards against lost capacity and new work for a leaving worker."""
@@ -164,35 +39,35 @@
         """Guards against lending while the worker's state is unknown."""
 
         async def scenario() -> None:
-            region = _Region()
+            region = Region()
             region.agent.is_reachable = False
             async with trio.open_nursery() as nursery:
                 await nursery.start(region.managers['e1'].run)
-                region.managers['e1'].own(_WORKER, Epoch(1))
+                region.managers['e1'].own(LENT_WORKER, Epoch(1))
                 await trio.sleep(5)
                 self.assertIsNone(await region.acquire('e1'))
                 nursery.cancel_scope.cancel()
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_owner_needs_no_message(self) -> None:
         """Guards against a peer message for each request at the owner."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 before = region.messages_count
                 permit = await region.acquire('e1')
                 self.assertIsNotNone(permit)
                 self.assertEqual(region.messages_count, before)
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_used_grants_are_renewed_and_idle_ones_returned(self) -> None:
         """Guards against grants that expire in use, and hoarded slots."""
 
         async def scenario() -> None:
-            async with _region() as region:
-                ledger = region.managers['e1'].allocator.ledgers[_WORKER_ID]
+            async with open_region() as region:
+                ledger = region.managers['e1'].allocator.ledgers[WORKER_ID]
                 permit_pool = region.managers['e2'].permit_pool
                 for _ in range(8):
                     permit = await region.acquire('e2')
@@ -205,29 +80,29 @@
                 self.assertEqual(ledger.free_slots_count, 8)
                 self.assertEqual(ledger.free_connections_count, 64)
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_cut_borrower_is_revoked_at_the_worker(self) -> None:
         """Guards against slots that are lost with a borrower or used twice."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 permit = await region.acquire('e2')
                 assert permit is not None
                 region.is_partitioned = True
                 await trio.sleep(6)
                 self.assertIsNone(await region.acquire('e2'))
                 self.assertFalse(region.send('e2', permit))
-                ledger = region.managers['e1'].allocator.ledgers[_WORKER_ID]
+                ledger = region.managers['e1'].allocator.ledgers[WORKER_ID]
                 self.assertEqual(ledger.free_slots_count, 8)
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_lost_return_does_not_lose_slots(self) -> None:
         """Guards against slots that owner and borrower count differently."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 permit = await region.acquire('e2')
                 assert permit is not None
                 self.assertTrue(region.send('e2', permit))
@@ -236,45 +111,45 @@
                 await trio.sleep(1.2)
                 region.is_partitioned = False
                 await trio.sleep(6)
-                ledger = region.managers['e1'].allocator.ledgers[_WORKER_ID]
+                ledger = region.managers['e1'].allocator.ledgers[WORKER_ID]
                 self.assertEqual(ledger.free_slots_count, 7)
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_grant_ends_no_later_at_the_borrower(self) -> None:
         """Guards against an expiry that counts from the reply's arrival."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 permit = await region.acquire('e2')
                 assert permit is not None
-                ledger = region.managers['e1'].allocator.ledgers[_WORKER_ID]
+                ledger = region.managers['e1'].allocator.ledgers[WORKER_ID]
                 ends_at_s = ledger.reported_at_s + 3
                 self.assertLessEqual(permit.expires_at_s, ends_at_s)
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_call_of_a_cut_borrower_keeps_its_slot(self) -> None:
         """Guards against lending a slot whose call is still running."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 permit = await region.acquire('e2')
                 assert permit is not None
                 self.assertTrue(region.send('e2', permit))
                 region.is_partitioned = True
                 await trio.sleep(6)
-                ledger = region.managers['e1'].allocator.ledgers[_WORKER_ID]
+                ledger = region.managers['e1'].allocator.ledgers[WORKER_ID]
                 self.assertEqual(ledger.free_slots_count, 7)
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_leaving_worker_gets_no_work_after_three_s(self) -> None:
         """Guards against new work for a worker in state leaving (R7)."""
 
         async def scenario() -> None:
             for is_partitioned in (False, True):
-                async with _region() as region:
+                async with open_region() as region:
                     await self._acquire_on_both_entries(region)
                     region.agent.leaving = True
                     region.is_partitioned = is_partitioned
@@ -282,50 +157,50 @@
                     self.assertIsNone(await region.acquire('e1'))
                     self.assertIsNone(await region.acquire('e2'))
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_borrower_is_told_at_once(self) -> None:
         """Guards against borrowers that learn of it by the next summary."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 await self._acquire_on_both_entries(region)
                 region.agent.leaving = True
                 await trio.sleep(1)
                 self.assertIsNone(await region.acquire('e2'))
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_silent_worker_gets_no_work_after_three_s(self) -> None:
         """Guards against renewals while the worker may be leaving (R7)."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 await self._acquire_on_both_entries(region)
                 region.agent.is_reachable = False
                 await trio.sleep(3)
                 self.assertIsNone(await region.acquire('e1'))
                 self.assertIsNone(await region.acquire('e2'))
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_superseded_owner_stops(self) -> None:
         """Guards against an owner that lends after a successor's fence."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 region.agent.worker.lease(Epoch(2), [])
                 await trio.sleep(1.1)
-                self.assertEqual(region.superseded, [_WORKER_ID])
+                self.assertEqual(region.superseded, [WORKER_ID])
                 self.assertEqual(region.managers['e1'].allocator.ledgers, {})
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_refused_permit_drops_its_grant(self) -> None:
         """Guards against retries on a grant that the worker refuses."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 permit = await region.acquire('e2')
                 assert permit is not None
                 capacity_manager = region.managers['e2']
@@ -334,16 +209,16 @@
                     capacity_manager.permit_pool.renewable_grants(), []
                 )
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_restarted_borrower_waits_for_its_predecessor(self) -> None:
         """Guards against two sessions where only one is counted."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 self.assertIsNotNone(await region.acquire('e2'))
                 allocator = region.managers['e1'].allocator
-                wants = [(_WORKER_ID, 1)]
+                wants = [(WORKER_ID, 1)]
                 again = Incarnation('e2-2')
                 name = EntryId('e2')
                 now_s = trio.current_time()
@@ -352,14 +227,14 @@
                 now_s = trio.current_time()
                 self.assertTrue(allocator.lend(name, again, wants, now_s))
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_reservations_are_limited_and_released(self) -> None:
         """Guards against two tasks on the same processors."""
 
         async def scenario() -> None:
-            async with _region() as region:
-                peer = _Peer(region, 'e2', 'e1')
+            async with open_region() as region:
+                peer = Peer(region, 'e2', 'e1')
                 first = await peer.call(_reserve('t1'), timeout_s=1)
                 again = await peer.call(_reserve('t1'), timeout_s=1)
                 self.assertEqual(first, again)
@@ -369,31 +244,31 @@
                 await peer.call(release, timeout_s=1)
                 await peer.call(_reserve('t2'), timeout_s=1)
 
-        _run(scenario)
+        run_with_clock(scenario)
 
     def test_returning_worker_needs_a_new_epoch(self) -> None:
         """Guards against a second ledger that issues the same grant ids."""
 
         async def scenario() -> None:
-            async with _region() as region:
+            async with open_region() as region:
                 capacity_manager = region.managers['e1']
-                listed = {_WORKER_ID: _WORKER}
+                listed = {WORKER_ID: LENT_WORKER}
                 shards = {ShardId(0): Epoch(1)}
                 self.assertFalse(_assign(capacity_manager, {}, shards))
-                self.assertIn(_WORKER_ID, capacity_manager.allocator.ledgers)
+                self.assertIn(WORKER_ID, capacity_manager.allocator.ledgers)
                 region.agent.is_reachable = False
                 await trio.sleep(12)
                 _assign(capacity_manager, {}, shards)
-                self.assertNotIn(_WORKER_ID, capacity_manager.allocator.ledgers)
+                self.assertNotIn(WORKER_ID, capacity_manager.allocator.ledgers)
                 waiting = _assign(capacity_manager, listed, shards)
                 self.assertEqual(waiting, {ShardId(0)})
                 shards[ShardId(0)] = Epoch(2)
                 self.assertFalse(_assign(capacity_manager, listed, shards))
-                self.assertIn(_WORKER_ID, capacity_manager.allocator.ledgers)
+                self.assertIn(WORKER_ID, capacity_manager.allocator.ledgers)
 
-        _run(scenario)
+        run_with_clock(scenario)
 
-    async def _acquire_on_both_entries(self, region: _Region) -> None:
+    async def _acquire_on_both_entries(self, region: Region) -> None:
         for name in ('e1', 'e2'):
             self.assertIsNotNone(await region.acquire(name))
 
