--- a/src/marjoramwharf/cells/counters.py
+++ b/src/marjoramwharf/cells/counters.py
@@ -25,8 +25,9 @@
     """Totals since the process started, and samples since the last scrape.
 
     ``other_clock_answers_count`` is the number of answers to start orders that
-    the clock of the order's lease can't have given. ``wait_samples_s`` are the times from a task's readiness to its start,
-    ``write_samples_s`` the durations of group commits, and
+    the clock of the order's lease can't have given. ``wait_samples_s`` are the
+    times from a task's readiness to its start, ``write_samples_s`` the
+    durations of group commits, and
     ``answer_samples_s`` the times from a caller's request to the answer.
     """
 
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -36,7 +36,8 @@
 _START_ATTEMPTS_COUNT = 4
 _CONCURRENT_ORDERS_COUNT = 3
 
-# Ends before a second order without an answer does, whose turn gets free then.
+# Less than two orders take that get no answer: an order behind them gives up
+# before it could follow them.
 _TURN_TIMEOUT_S = 1.8 * _ORDER_TIMEOUT_S
 _UNHEALTHY_WORKER_PAUSE_S = 0.5
 _FULL_WORKER_PAUSE_S = 0.1
