Use and keep the peers that can execute relayed calls

A relayed call went through the first connected peer for as long as that was connected, also if it answered each time that it doesn't reach the store either, or didn't answer, while the second one could have executed it. An entry that the store rejects would refuse submissions and lose its ownership of the cell, and after two such calls its relay counted as unable.

Each connection now records when its calls began to fail. Peers without failures are used first, then the one that failed longest ago; if a peer says that it can't execute a call, nothing was applied, so the next one is asked at once. The decisions are plain functions in links/peer_usefulness.py.

--- a/src/marjoramwharf/links/store_relay.py
+++ b/src/marjoramwharf/links/store_relay.py
@@ -15,9 +15,16 @@
     PeerRefused,
     PeerUnreachable,
     StoreAnswerLost,
+    StoreRefused,
+    StoreUnavailable,
 )
 from marjoramwharf.links.peer_client import PeerClient
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
+from marjoramwharf.links.peer_usefulness import (
+    PeerUsefulness,
+    find_replaceable,
+    rank_peers,
+)
 from marjoramwharf.links.store import PollingStore
 from marjoramwharf.links.store_calls import (
     CallOutcome,
@@ -72,12 +79,29 @@
 class _PeerConnection:
     client: PeerClient
     opened_s: float
+    usefulness: PeerUsefulness = field(default_factory=PeerUsefulness)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     async def run(self) -> None:
         with self.scope:
             await self.client.run()
 
+    async def call(self, call: StoreCall) -> StoreReply:
+        """Let the peer execute a call, and record whether it could."""
+        try:
+            reply = await _send_call(self.client, call)
+        except StoreRefused:
+            self.usefulness.record_answer()
+            raise
+        except (StoreUnavailable, StoreAnswerLost):
+            self.usefulness.record_failure(now_s=trio.current_time())
+            raise
+        except Failure:
+            self.usefulness.record_answer()
+            raise
+        self.usefulness.record_answer()
+        return reply
+
 
 @dataclass(slots=True)
 class StoreRelay:
@@ -94,6 +118,7 @@
     _connections: dict[PeerAddress, _PeerConnection] = field(
         default_factory=dict
     )
+    _replaced_s: dict[PeerAddress, float] = field(default_factory=dict)
     _last_unreachable_s: float = 0
 
     @property
@@ -112,6 +137,7 @@
                 if self.reachability.is_unreachable:
                     self._last_unreachable_s = now_s
                     self._close_unconnected(now_s)
+                    self._replace_useless(now_s)
                     self._connect(nursery, now_s)
                 elif (
                     self._connections
@@ -120,29 +146,80 @@
                     self._close(tuple(self._connections))
 
     async def call(self, call: StoreCall) -> StoreReply:
-        """Let the first connected peer execute a call.
+        """Let a connected peer execute a call.
 
-        Raises ``PeerUnreachable`` if no peer is connected, so that nothing
-        was sent, else what the store's method raises.
+        If one says that it can't, so that nothing was applied, the next one is
+        asked. Raises ``PeerUnreachable`` if no peer is connected, so that
+        nothing was sent, else what the store's method raises.
         """
-        for connection in tuple(self._connections.values()):
-            if connection.client.peer is not None:
-                return await _send_call(connection.client, call)
-        raise PeerUnreachable(message='no peer is connected')
+        unavailable: Failure = PeerUnreachable(message='no peer is connected')
+        for connection in self._ranked_connections():
+            try:
+                return await connection.call(call)
+            except StoreRefused:
+                raise
+            except StoreUnavailable as failure:
+                unavailable = failure
+        raise unavailable
+
+    def _ranked_connections(self) -> list[_PeerConnection]:
+        connected = self._connected()
+        ranked = rank_peers(
+            {
+                peer: connection.usefulness
+                for peer, connection in connected.items()
+            }
+        )
+        return [connected[peer] for peer in ranked]
+
+    def _connected(self) -> dict[PeerAddress, _PeerConnection]:
+        return {
+            peer: connection
+            for peer, connection in self._connections.items()
+            if connection.client.peer is not None
+        }
 
     def _connect(self, nursery: trio.Nursery, now_s: float) -> None:
-        candidates = [
-            peer
-            for peer in self.peers()
-            if peer not in self._connections
-            and peer.entry_id != self.identity.entry_id
-        ]
+        candidates = self._candidates()
         self.rng.shuffle(candidates)
+        candidates.sort(key=lambda peer: self._replaced_s.get(peer, 0))
         for peer in candidates[: _MAX_PEERS_COUNT - len(self._connections)]:
             connection = _PeerConnection(self._make_client(peer), now_s)
             self._connections[peer] = connection
             nursery.start_soon(connection.run)
 
+    def _candidates(self) -> list[PeerAddress]:
+        return [
+            peer
+            for peer in self.peers()
+            if peer not in self._connections
+            and peer.entry_id != self.identity.entry_id
+        ]
+
+    def _replace_useless(self, now_s: float) -> None:
+        """Close the most useless peer if another one can take its place.
+
+        The one that was replaced longest ago is then the first to return.
+        """
+        candidates = self._candidates()
+        useless = find_replaceable(
+            {
+                peer: connection.usefulness
+                for peer, connection in self._connected().items()
+            },
+            now_s=now_s,
+        )
+        if useless is None or not candidates:
+            return
+        self._close([useless])
+        listed = {useless, *candidates}
+        self._replaced_s = {
+            peer: replaced_s
+            for peer, replaced_s in self._replaced_s.items()
+            if peer in listed
+        }
+        self._replaced_s[useless] = now_s
+
     def _close_unconnected(self, now_s: float) -> None:
         self._close(
             [
