--- a/tests/cells/test_outdated_owner.py
+++ b/tests/cells/test_outdated_owner.py
@@ -8,17 +8,19 @@
 
 from marjoramwharf.cells.job_status import PublicJobState
 from marjoramwharf.cells.owner_link import answer_job_call
+from marjoramwharf.errors import NotOwner
 from marjoramwharf.ids import (
     DataCentreId,
     EntryId,
     Incarnation,
     JobId,
 )
-from marjoramwharf.links.peer_messages import PeerIdentity
+from marjoramwharf.links.peer_messages import Message, PeerIdentity
 from marjoramwharf.links.thrift_types.peer import ttypes
 from marjoramwharf.scheduling.workload import JobRequest
 from tests.cells.cluster import (
     CELL,
+    QUEUE,
     Candidate,
     Cluster,
     job_request,
@@ -46,6 +48,10 @@
         """Guards against a peer that takes an outdated state for certain."""
         run_with_clock(self._answer_to_a_peer)
 
+    def test_waiting_count_of_a_former_owner(self) -> None:
+        """Guards against "none wait" by an owner that has lost the store."""
+        run_with_clock(self._waiting_count_of_a_former_owner)
+
     async def _former_owner_wakes(self) -> None:
         async with open_cluster(('w1',)) as (cluster, nursery):
             request = job_request('aa', payload='ms=3000')
@@ -90,6 +96,16 @@
                 _MAY_BE_OUTDATED, await self._ask(first, request.job_id)
             )
 
+    async def _waiting_count_of_a_former_owner(self) -> None:
+        async with open_cluster(('w1',)) as (cluster, nursery):
+            request = job_request('aa', payload='ms=60000')
+            first = await self._freeze_owner(cluster, nursery, request)
+            self.assertEqual(b'0', await self._count_waiting(first))
+            await trio.sleep(_FREEZE_S / 2)
+            await cluster.submit(job_request('bb'))
+            with self.assertRaises(NotOwner):
+                await self._count_waiting(first)
+
     async def _freeze_owner(
         self,
         cluster: Cluster,
@@ -115,9 +131,16 @@
 
     async def _ask(self, candidate: Candidate, job_id: JobId) -> int:
         """Return the status of the answer to a peer's call."""
+        return int((await self._call(candidate, 'status', job_id)).status)
+
+    async def _count_waiting(self, candidate: Candidate) -> bytes:
+        return bytes((await self._call(candidate, 'waiting', QUEUE)).body)
+
+    async def _call(
+        self, candidate: Candidate, method: str, argument: str
+    ) -> Message:
         identity = PeerIdentity(
             EntryId('e2'), Incarnation('1'), DataCentreId('ruse')
         )
-        call = ttypes.JobCall(method='status', shard=CELL, body=job_id.encode())
-        reply = await answer_job_call(lambda: candidate.cell, identity, call)
-        return int(reply.status)
+        call = ttypes.JobCall(method=method, shard=CELL, body=argument.encode())
+        return await answer_job_call(lambda: candidate.cell, identity, call)
