Show that an entry can be hidden from its peers for good

Of three entries whose ids share a slot each finds one, and an entry whose record is gone isn't found as long as it renews its lease.

--- a/tests/cells/test_entry_directory.py
+++ b/tests/cells/test_entry_directory.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import unittest
+import zlib
 
 import trio
 
 from marjoramwharf.cells.entry_directory import EntryDirectory
 from marjoramwharf.cells.records import EntryRecord
+from marjoramwharf.links.store import Write
 from standins.polling_store import PollingMemoryStore
 from tests.cells.cluster import run_with_clock
 
@@ -31,6 +33,18 @@
         """Guards against a read whose size grows with the number of entries."""
         run_with_clock(self._many_entries)
 
+    def test_entries_of_one_slot(self) -> None:
+        """Guards against an entry that another one hides from its peers."""
+        run_with_clock(self._entries_of_one_slot)
+
+    def test_record_is_gone(self) -> None:
+        """Guards against an entry that is hidden while its lease lasts."""
+        run_with_clock(self._record_is_gone)
+
+    def test_former_process(self) -> None:
+        """Guards against peers that know only the former process."""
+        run_with_clock(self._former_process)
+
     async def _entries_find_each_other(self) -> None:
         store = PollingMemoryStore()
         directories = [_directory(store, name) for name in ('e1', 'e2')]
@@ -39,8 +53,7 @@
                 nursery.start_soon(directory.run)
             await trio.sleep(2)
             for directory in directories:
-                entry_ids = {peer.entry_id for peer in directory.peers}
-                self.assertEqual({'e1', 'e2'}, entry_ids)
+                self.assertEqual({'e1', 'e2'}, _peer_ids(directory))
             nursery.cancel_scope.cancel()
 
     async def _store_outage(self) -> None:
@@ -65,3 +78,48 @@
             await trio.sleep(0.5)
             self.assertLessEqual(len(store.state.values_below('mw/entry/')), 64)
             nursery.cancel_scope.cancel()
+
+    async def _entries_of_one_slot(self) -> None:
+        store = PollingMemoryStore()
+        names = [
+            name
+            for name in map('e{}'.format, range(500))
+            if zlib.crc32(name.encode()) % 64 == 7
+        ][:3]
+        async with trio.open_nursery() as nursery:
+            directories = [_directory(store, name) for name in names]
+            for directory in directories:
+                nursery.start_soon(directory.run)
+            await trio.sleep(20)
+            for directory in directories:
+                self.assertEqual(set(names), _peer_ids(directory))
+            nursery.cancel_scope.cancel()
+
+    async def _record_is_gone(self) -> None:
+        store = PollingMemoryStore()
+        directory = _directory(store, 'e1')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(directory.run)
+            await trio.sleep(2)
+            for stored in store.state.values_below('mw/entry/'):
+                await store.commit([], [Write(stored.key, None)])
+            await trio.sleep(30)
+            self.assertEqual({'e1'}, _peer_ids(directory))
+            nursery.cancel_scope.cancel()
+
+    async def _former_process(self) -> None:
+        store = PollingMemoryStore()
+        with trio.move_on_after(2):
+            await _directory(store, 'e1').run()
+        record = EntryRecord('e1', 'e1', 1, 'of its next process')
+        next_process = EntryDirectory(store, record)
+        with trio.move_on_after(2):
+            await next_process.run()
+        self.assertEqual(
+            ['of its next process'],
+            [peer.secret for peer in next_process.peers],
+        )
+
+
+def _peer_ids(directory: EntryDirectory) -> set[str]:
+    return {peer.entry_id for peer in directory.peers}
