Write the record of an entry again once it is gone

An entry renewed the lease of its record and took that for the record itself. If another one had overwritten it, as a process of an earlier build does, or it was removed, the entry stayed hidden from its peers for as long as it lived.

An entry that doesn't find itself among the records that it reads now writes its record again. test_record_is_gone failed before (not found 30 s later) and passes with the other tests of the file and tests.programs.test_platform_path.

--- a/src/marjoramwharf/cells/entry_directory.py
+++ b/src/marjoramwharf/cells/entry_directory.py
@@ -105,6 +105,9 @@
             return
         decoded = (_decode_peer(stored) for stored in result.found)
         self.peers = tuple(peer for peer in decoded if peer is not None)
+        if self.record.entry_id not in {peer.entry_id for peer in self.peers}:
+            # The lease may outlive the record, which is then written again.
+            self._lease = None
 
 
 def _choose_place(found: Sequence[StoredValue], entry_id: str) -> Guard | None:
