Show owners that keep the cell from entries that could work

A fast entry that fails to load the cell for 0.6 s is the owner again before an entry with a tenth of a core, so a job isn't done in 10 s. A hand-over while a job changes every 5 ms and commits take 20 ms isn't over after 1 s.

--- /dev/null
+++ b/tests/cells/test_giving_way.py
@@ -0,0 +1,89 @@
+"""Entries that could own the cell but serve it worse than others."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Sequence
+from unittest.mock import patch
+
+import trio
+
+from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.ownership import Campaign, Tenure
+from marjoramwharf.errors import StoreUnavailable
+from marjoramwharf.ids import JobId
+from marjoramwharf.links.store import Committed, Conflict, Guard, Write
+from tests.cells.cluster import (
+    Candidate,
+    job_request,
+    open_cluster,
+    run_with_clock,
+)
+
+_READ_TIMEOUT_S = 0.6
+_COMMIT_S = 0.02
+_CHANGE_PERIOD_S = 0.005
+
+
+async def _fail_to_load(_tenure: Tenure) -> None:
+    await trio.sleep(_READ_TIMEOUT_S)
+    raise StoreUnavailable(message='the jobs can not be read')
+
+
+async def _change_job(cell: Cell, job_id: JobId) -> None:
+    job_table = cell.job_table
+    while True:
+        job_table._mark_changed(job_table.jobs[job_id], is_urgent=True)
+        cell._progress_writer.wake()
+        await trio.sleep(_CHANGE_PERIOD_S)
+
+
+def _campaign_of(candidate: Candidate) -> Campaign:
+    if candidate.campaign is None:
+        raise AssertionError('the candidate does not campaign')
+    return candidate.campaign
+
+
+class GivingWayTests(unittest.TestCase):
+    """Guards against an entry that keeps the cell from those that can work."""
+
+    def test_owner_fails_to_load(self) -> None:
+        """Guards against an owner that fails, and is first again each time."""
+        run_with_clock(self._owner_fails_to_load)
+
+    def test_hand_over_amid_changes(self) -> None:
+        """Guards against a hand-over that waits until nothing changes."""
+        run_with_clock(self._hand_over_amid_changes)
+
+    async def _owner_fails_to_load(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            request = job_request('aa')
+            await cluster.submit(request)
+            failing = _campaign_of(cluster.spawn(nursery, 'e1'))
+            failing.run_cell = _fail_to_load
+            slow = _campaign_of(cluster.spawn(nursery, 'e2'))
+            slow.cpu_share = 0.1
+            await cluster.wait_until_done(request, limit_s=10)
+
+    async def _hand_over_amid_changes(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            request = job_request('aa', payload='ms=60000')
+            await cluster.submit(request)
+            await cluster.wait_until(lambda: cluster.state(request) is not None)
+            cell = owner.cell
+            if cell is None:
+                self.fail('there is no owner')
+            commit = cluster.store.commit
+
+            async def commit_later(
+                guards: Sequence[Guard], writes: Sequence[Write]
+            ) -> Committed | Conflict:
+                await trio.sleep(_COMMIT_S)
+                return await commit(guards, writes)
+
+            with patch.object(cluster.store, 'commit', commit_later):
+                nursery.start_soon(_change_job, cell, request.job_id)
+                await trio.sleep(1)
+                with trio.fail_after(1):
+                    await cell.hand_over()
