Let any other entry own the cell before one that has just failed

An entry whose tenure failed, such as by a read of the jobs without an answer, campaigned again after 0.2 s. An entry with less than a core waits for up to 0.3 s before it campaigns, so the failing one was the owner each time: callers would see accepted jobs that never run although another entry could load the cell.

The pause is 1 s now after a failed tenure, and stays 0.2 s after any other one. test_owner_fails_to_load failed before (job not done after 10 s) and passes, as do the tests of ownership, cell, malformed records and outdated owners.

--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -52,6 +52,9 @@
 # becomes the owner; scaled by the missing share of the core.
 _SLOW_INSTANCE_DELAY_S = 0.3
 _RETRY_PAUSE_S = 0.2
+
+# Pause after a tenure that failed, so that any other entry is the next owner.
+_FAILED_PAUSE_S = 1.0
 _RENEWALS_PER_TTL = 4
 _RENEWAL_RETRY_PAUSE_S = 0.1
 
@@ -281,6 +284,7 @@
             entry=self.record.entry_id,
         )
         self.tenure = tenure
+        pause_s = _RETRY_PAUSE_S
         try:
             with tenure.scope:
                 async with trio.open_nursery() as nursery:
@@ -290,15 +294,18 @@
         except* NotOwner as superseded_group:
             _LOG.info('superseded', error=str(superseded_group.exceptions[0]))
         except* Failure as failed_group:
+            pause_s = _FAILED_PAUSE_S
             _LOG.warning('cell failed', error=repr(failed_group.exceptions[0]))
         except* Exception:
             # The state of the cell may be inconsistent; the store has the truth.
+            pause_s = _FAILED_PAUSE_S
             log_unexpected(f'cell {self.cell}')
         finally:
             self.tenure = None
         _LOG.info('ownership ended', cell=self.cell, fence=tenure.revision)
         if not self.has_resigned:
             await self._release_lease(tenure)
+            await trio.sleep(pause_s)
 
     async def _release_lease(self, tenure: Tenure) -> None:
         owner = self.view.owners.get(self.cell)
@@ -309,7 +316,6 @@
                 await self.store.revoke_lease(tenure.lease)
             except Failure as failure:
                 _LOG.info('owner lease not revoked', error=str(failure))
-        await trio.sleep(_RETRY_PAUSE_S)
 
     async def _renew_lease(self, tenure: Tenure) -> None:
         """Renew the lease periodically; end the tenure when it has lapsed."""
