Hand the cell over without waiting until nothing changes

An owner that stops plans nothing more, then waited until no progress of any job was unstored before it gave up the ownership. While runs end all the time there is always some, so that nobody planned for the whole limit (a quarter of the grace, 1.25 s with 6 s), where storing the plans takes a few commits.

The hand-over now waits for the changes made until its start.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -205,7 +205,10 @@
             )
 
     async def hand_over(self) -> None:
-        """Stop starting runs, and return when all progress is stored."""
+        """Stop planning runs, and return when the plans made are stored.
+
+        The next owner learns from the workers of what ends from then on.
+        """
         self.is_stopping = True
         await self._progress_writer.flush()
 
--- a/src/marjoramwharf/cells/progress_writer.py
+++ b/src/marjoramwharf/cells/progress_writer.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import trio
@@ -49,6 +49,8 @@
 # writes many of them.
 _COLLECTION_S = 0.15
 
+_FLUSH_CHECK_S = 0.01
+
 _INITIAL_PAUSE_S = 0.05
 _MAX_PAUSE_S = 0.5
 
@@ -99,12 +101,28 @@
                 nursery.start_soon(self._run_committer)
 
     async def flush(self) -> None:
-        """Mark all changes as urgent, and return when no job is unstored."""
-        while self.job_table.unstored:
-            for job in self.job_table.unstored.values():
+        """Store the changes made until now; return when that is done.
+
+        Those that are made meanwhile are not waited for: while many runs end,
+        there is always one.
+        """
+        flushed = {
+            job_id: job.version
+            for job_id, job in self.job_table.unstored.items()
+        }
+        while waiting := self._older_than(flushed):
+            for job in waiting:
                 job.is_urgent = True
             self.wake()
-            await trio.sleep(0.01)
+            await trio.sleep(_FLUSH_CHECK_S)
+
+    def _older_than(self, versions: Mapping[JobId, int]) -> list[Job]:
+        """Return the jobs that are not stored at one of these versions yet."""
+        return [
+            job
+            for job_id, job in self.job_table.unstored.items()
+            if job.stored_version < versions.get(job_id, 0)
+        ]
 
     async def _run_committer(self) -> None:
         """Write one group after the other, with a pause after a failure."""
