Leave the cell to entries that have what they need to plan

An entry campaigns as soon as it knows that the cell has no owner. One that has no configuration, since it started after a version that it can't decode, is not ready for callers but may become the owner, and then plans nothing for as long as it lives, while entries that keep the former version could.

Campaign takes is_prepared now, and leaves the cell to others for up to 1 s while that is false. An entry that isn't prepared still becomes the owner if no other one does, since running work must be held. The default is always prepared: the program has to pass whether it has a configuration. test_unprepared_entry needs the new argument; with the default, the unprepared entry is the owner at once.

--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -51,6 +51,10 @@
 # Delays the write of an instance with less than one core, so that a faster one
 # becomes the owner; scaled by the missing share of the core.
 _SLOW_INSTANCE_DELAY_S = 0.3
+
+# Delays the write of an entry that could not plan, until it can. It is longer
+# than the other delays.
+_UNPREPARED_DELAY_S = 1.0
 _RETRY_PAUSE_S = 0.2
 
 # Pause after a tenure that failed, so that any other entry is the next owner.
@@ -167,6 +171,10 @@
 RunCell = Callable[[Tenure], Awaitable[None]]
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class Campaign:
     """Makes this entry the owner whenever the cell has none, and keeps it so.
@@ -174,7 +182,8 @@
     The record of an owner whose process has ended is replaced before its
     lease lapses. If that process is alive after all, its next write is
     refused. ``store`` should have a short timeout, since a renewal that takes
-    longer than the lease is of no use.
+    longer than the lease is of no use. ``is_prepared`` tells whether this
+    entry has all that it needs to plan; it leaves the cell to others if not.
     """
 
     store: PollingStore
@@ -184,6 +193,7 @@
     ttl_ms: int
     cpu_share: float
     run_cell: RunCell
+    is_prepared: Callable[[], bool] = _always
     tenure: Tenure | None = None
     has_resigned: bool = False
 
@@ -192,6 +202,7 @@
         while True:
             await self._wait_until_replaceable()
             await trio.sleep(self._campaign_delay_s())
+            await self._wait_until_prepared()
             replaced_revision = self._replaceable_revision()
             if replaced_revision is None or self.has_resigned:
                 continue
@@ -224,6 +235,12 @@
         while self._replaceable_revision() is None:
             await self.view.wait_change()
 
+    async def _wait_until_prepared(self) -> None:
+        """Leave the cell to other entries for a while, unless prepared."""
+        with trio.move_on_after(_UNPREPARED_DELAY_S):
+            while not self.is_prepared():
+                await trio.sleep(_RENEWAL_RETRY_PAUSE_S)
+
     def _replaceable_revision(self) -> int | None:
         """Return the revision of the record to replace, 0 if there is none.
 
--- a/tests/cells/test_giving_way.py
+++ b/tests/cells/test_giving_way.py
@@ -30,6 +30,10 @@
     raise StoreUnavailable(message='the jobs can not be read')
 
 
+def _is_never_prepared() -> bool:
+    return False
+
+
 async def _change_job(cell: Cell, job_id: JobId) -> None:
     job_table = cell.job_table
     while True:
@@ -55,6 +59,22 @@
         """Guards against a hand-over that waits until nothing changes."""
         run_with_clock(self._hand_over_amid_changes)
 
+    def test_unprepared_entry(self) -> None:
+        """Guards against an owner that can't plan where another one could."""
+        run_with_clock(self._unprepared_entry)
+
+    async def _unprepared_entry(self) -> None:
+        """It is the owner only if no other entry campaigns."""
+        async with open_cluster() as (cluster, nursery):
+            unprepared = cluster.spawn(nursery, 'e1')
+            _campaign_of(unprepared).is_prepared = _is_never_prepared
+            prepared = cluster.spawn(nursery, 'e2')
+            _campaign_of(prepared).cpu_share = 0.1
+            await cluster.wait_until(lambda: prepared.cell is not None)
+            self.assertEqual(0, unprepared.tenures_count)
+            prepared.scope.cancel()
+            await cluster.wait_until(lambda: unprepared.cell is not None)
+
     async def _owner_fails_to_load(self) -> None:
         async with open_cluster() as (cluster, nursery):
             request = job_request('aa')
