Show that tasks are placed on a worker that their owner can't call

Of 12 jobs of one task each, with one of two workers cut off from the owner of the job shard only, 6 are done. Listed as known red until it is fixed.

--- a/tests/batch/fakes.py
+++ b/tests/batch/fakes.py
@@ -63,11 +63,14 @@
 
     ``answers_to_lose`` starts take effect, but their answers are lost.
     ``starts_to_delay`` starts get no answer and take effect at the next tick.
+    One that ``is_cut_off`` reports to the entry that owns its capacity, but
+    can't be called by the owners of job shards.
     """
 
     worker_id: WorkerId
     executed: Counter[tuple[TaskId, int]]
     is_reachable: bool = True
+    is_cut_off: bool = False
     answers_to_lose: int = 0
     starts_to_delay: int = 0
     is_failing: bool = False
@@ -79,7 +82,7 @@
 
     async def start_task(self, start: TaskStart) -> TaskReport | WorkerRefusal:
         """Serve a start, with the configured faults."""
-        await self._enter()
+        await self._enter_call()
         if self.starts_to_delay:
             self.starts_to_delay -= 1
             self.delayed.append(start)
@@ -98,7 +101,7 @@
         with_checkpoint: bool,
     ) -> TaskReport:
         """Stop an attempt, or refuse its start from now on."""
-        await self._enter()
+        await self._enter_call()
         report = self.attempts.get(task_id)
         if report is None or report.fence != fence:
             self.refused.add((task_id, fence))
@@ -168,6 +171,11 @@
                 report = replace(report, phase=TaskPhase.FINISHED)
             self.attempts[start.task_id] = report
 
+    async def _enter_call(self) -> None:
+        await self._enter()
+        if self.is_cut_off:
+            raise WorkerUnreachable(message='no route from this entry')
+
     async def _enter(self) -> None:
         await trio.lowlevel.checkpoint()
         if not self.is_reachable:
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -83,6 +83,23 @@
 
         self._serve(script)
 
+    def test_worker_out_of_reach_is_avoided(self) -> None:
+        """Guards against placing task after task on a worker that is cut off.
+
+        The worker reports to the entry that owns its capacity.
+        """
+
+        async def script(shard: JobShard, runner: JobRunner) -> None:
+            self.cluster.workers[_FIRST].is_cut_off = True
+            for number in range(12):
+                await shard.submit(job_spec(str(number)), 0)
+                await trio.sleep(0.5)
+            await trio.sleep(5)
+            done = await shard.list_jobs(state=JobState.DONE)
+            self.assertGreaterEqual(len(done), 10)
+
+        self._serve(script)
+
     def test_job_that_never_fits_is_impossible(self) -> None:
         """Guards against endless requests for a worker that can't exist."""
 
