Place no tasks on workers that the owner of the job can't call

A start without an answer leaves its task placed on that worker until it is proved that it never ran. With a worker that this entry can't call, while the entry that owns its capacity can, the next task was placed there all the same: callers would see half of their jobs wait with one of two workers cut off.

A worker that didn't answer a start is now avoided for 5 s, then for twice as long after each further one, up to 60 s; any answer ends that.

--- a/src/marjoramwharf/batch/failing_workers.py
+++ b/src/marjoramwharf/batch/failing_workers.py
@@ -1,4 +1,8 @@
-"""Temporarily excludes workers on which the tasks of several jobs fail."""
+"""Temporarily excludes workers on which the tasks of several jobs fail.
+
+Workers that this entry can't call are excluded, too, since a task that is placed
+there can neither start nor be placed elsewhere before that is proved.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,9 @@
 _INITIAL_EXCLUSION_S = 30.0
 _MAX_EXCLUSION_S = 600.0
 
+_INITIAL_UNREACHABLE_S = 5.0
+_MAX_UNREACHABLE_S = 60.0
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerExclusion:
@@ -32,6 +39,14 @@
     next_exclusion_s: float = _INITIAL_EXCLUSION_S
 
 
+@dataclass(frozen=True, slots=True)
+class _Unreachable:
+    """A worker that didn't answer is avoided for a while before a retry."""
+
+    until_s: float
+    pause_s: float
+
+
 class WorkerFailureTracker:
     """Counts failures per worker since its last success."""
 
@@ -39,6 +54,7 @@
         """Create a tracker without failures."""
         self._records: dict[WorkerId, _FailureRecord] = {}
         self._exclusions: dict[WorkerId, WorkerExclusion] = {}
+        self._unreachable: dict[WorkerId, _Unreachable] = {}
 
     def record_success(self, worker_id: WorkerId) -> None:
         """Reset a worker's failures and end its exclusion."""
@@ -66,10 +82,29 @@
         self._exclusions[worker_id] = exclusion
         return exclusion
 
+    def record_reached(self, worker_id: WorkerId) -> None:
+        """Record a worker that has answered a call by this entry."""
+        self._unreachable.pop(worker_id, None)
+
+    def record_unreachable(self, worker_id: WorkerId, now_s: float) -> None:
+        """Avoid a worker that didn't answer, each time for twice as long."""
+        former = self._unreachable.get(worker_id)
+        if former is not None and former.until_s > now_s:
+            return
+        pause_s = _INITIAL_UNREACHABLE_S
+        if former is not None:
+            pause_s = min(2 * former.pause_s, _MAX_UNREACHABLE_S)
+        self._unreachable[worker_id] = _Unreachable(now_s + pause_s, pause_s)
+
     def excluded_workers(self, now_s: float) -> frozenset[WorkerId]:
         """Return the workers that are excluded at present."""
-        return frozenset(
+        failing = frozenset(
             worker_id
             for worker_id, exclusion in self._exclusions.items()
             if exclusion.until_s > now_s
         )
+        return failing | {
+            worker_id
+            for worker_id, unreachable in self._unreachable.items()
+            if unreachable.until_s > now_s
+        }
--- a/src/marjoramwharf/batch/task_starter.py
+++ b/src/marjoramwharf/batch/task_starter.py
@@ -128,7 +128,11 @@
         try:
             outcome = await agent.start_task(start)
         except WorkerUnreachable:
+            self.worker_failures.record_unreachable(
+                worker_id, trio.current_time()
+            )
             return
+        self.worker_failures.record_reached(worker_id)
         if isinstance(outcome, WorkerRefusal):
             self.pauses.pause(start.task_id, trio.current_time())
             await self.outcomes.commit_end(_never_ran_report(start))
