Tell the owner of a job that an attempt never ran

A start that the owner of a job shard could not send to a worker leaves its task placed there. The entry that owns the worker's capacity finds after 10 s that the attempt was never reported, lets the worker refuse it from then on and frees the reservation, but kept the proof to itself. The owner of the job asks the worker too, without an answer: callers would see the task wait for as long as that entry is cut off from that worker.

The proof now goes the way of the workers' reports, until the owner of the shard has acknowledged it, and once more after a change of that owner.

--- a/src/marjoramwharf/programs/_batch_path.py
+++ b/src/marjoramwharf/programs/_batch_path.py
@@ -343,6 +343,7 @@
             self._deps.capacity_manager.allocator.release_attempt(
                 worker_id, attempt
             )
+            self.report_relay.on_never_ran(worker_id, report)
 
 
 def _get_batch_size(worker: Worker, reserved: Demand) -> Demand:
--- a/src/marjoramwharf/programs/_task_reports.py
+++ b/src/marjoramwharf/programs/_task_reports.py
@@ -29,6 +29,9 @@
 # Combines the ends that several workers report at about the same time.
 _BATCH_DELAY_S = 0.05
 _NO_EPOCH = Epoch(0)
+
+# Proofs of a worker that are kept for a later owner of the job shard.
+_MAX_PROOFS_COUNT = 64
 # Replies of one worker that are queued while the store is slow. The oldest is
 # dropped; an end in it is asked for later, when the task is found missing.
 _MAX_QUEUED_REPLIES_COUNT = 8
@@ -63,6 +66,8 @@
         # Ends that a job owner has acknowledged, with the epoch of its shard:
         # the owner of a later epoch must get them again.
         self._acknowledged_ends: dict[WorkerId, dict[TaskReport, Epoch]] = {}
+        # Proofs that attempts never ran, which their workers don't repeat.
+        self._never_ran: dict[WorkerId, deque[TaskReport]] = {}
         self._unsent: defaultdict[EntryId, set[WorkerId]] = defaultdict(set)
         self._queues: dict[WorkerId, _Queue] = {}
         self._busy_owners: set[EntryId] = set()
@@ -93,7 +98,7 @@
         self._latest[worker_id] = reply
         self._enqueue(worker_id, reply, None)
         acknowledged = self._acknowledged_ends.setdefault(worker_id, {})
-        current = set(reply.tasks)
+        current = set(self._reports_of(worker_id))
         self._acknowledged_ends[worker_id] = {
             report: epoch
             for report, epoch in acknowledged.items()
@@ -105,10 +110,38 @@
             self._unsent[owner].add(worker_id)
         if any(
             self._is_unacknowledged_end(acknowledged, records, report)
-            for report in reply.tasks
+            for report in current
         ):
             self._new_ends_event.set()
 
+    def on_never_ran(self, worker_id: WorkerId, report: TaskReport) -> None:
+        """Handle a worker's proof that an attempt never ran and never will.
+
+        The owner of the job shard may be unable to get it from the worker.
+        """
+        proofs = self._never_ran.setdefault(
+            worker_id, deque(maxlen=_MAX_PROOFS_COUNT)
+        )
+        proofs.append(report)
+        reply = LeaseReply(
+            epoch=_NO_EPOCH,
+            leaving=False,
+            running=(),
+            tasks=(report,),
+            connections=(),
+        )
+        self._enqueue(worker_id, reply, frozenset())
+        record = _find_record(self._records(), report)
+        if record is not None and record.owner != self._entry_id:
+            self._unsent[record.owner].add(worker_id)
+            self._new_ends_event.set()
+
+    def _reports_of(self, worker_id: WorkerId) -> tuple[TaskReport, ...]:
+        """Return the reports of a worker's latest reply, and the proofs."""
+        latest = self._latest.get(worker_id)
+        reported = () if latest is None else latest.tasks
+        return (*reported, *self._never_ran.get(worker_id, ()))
+
     async def on_peer_reports(
         self,
         _sender: PeerIdentity,
@@ -223,7 +256,7 @@
         acknowledged = self._acknowledged_ends.get(worker_id, {})
         return [
             report
-            for report in self._latest[worker_id].tasks
+            for report in self._reports_of(worker_id)
             if _find_record(records, report) is not None
             and (
                 report.phase in RUNNING_PHASES
