Hand over the shards of workers that an entry can't reach

An entry keeps a shard of workers for as long as its member record lives. If it is cut off from a worker, nobody lends its slots or places tasks there, although the other entries may reach it: callers would see refusals and waiting jobs with most of the capacity unused (one of six workers usable, with two of three entries cut off).

The record of the shard lists the processes that have declined it, and the preferred owner is chosen among the others, so that the shard doesn't return at once.

test_entry_is_cut_off_from_the_workers failed before and passes, also when the paths to the next owner are cut later; test_worker_is_out_of_reach_for_all bounds the writes. Records of earlier builds have no list, which counts as empty.

--- a/src/marjoramwharf/contracts/lending.py
+++ b/src/marjoramwharf/contracts/lending.py
@@ -78,6 +78,27 @@
             capacity_manager.disown(worker_id)
 
 
+def find_silent_shards(
+    answered_s: Mapping[WorkerId, float],
+    shard_count: int,
+    *,
+    silent_s: float,
+    now_s: float,
+) -> frozenset[ShardId]:
+    """Return the shards of which no worker has answered for ``silent_s``.
+
+    ``answered_s`` has the time of the latest answer of each owned worker, or
+    that from which it was owned.
+    """
+    silent: set[ShardId] = set()
+    answering: set[ShardId] = set()
+    for worker_id, latest_s in answered_s.items():
+        is_silent = now_s - latest_s >= silent_s
+        found = silent if is_silent else answering
+        found.add(shard_of(worker_id, shard_count))
+    return frozenset(silent - answering)
+
+
 def _ignore_refill(_service: ServiceId) -> None:
     """Do nothing; the default callback for ended refills."""
 
--- a/src/marjoramwharf/contracts/ownership.py
+++ b/src/marjoramwharf/contracts/ownership.py
@@ -44,13 +44,15 @@
 
     An empty ``owner`` means that the shard was handed over. ``nonce`` is
     fresh for each write, so that a writer recognises its own record after
-    the store's answer was lost.
+    the store's answer was lost. ``declined`` has the entries that could not
+    serve the shard, with their incarnations.
     """
 
     owner: EntryId
     incarnation: Incarnation
     epoch: Epoch
     nonce: str
+    declined: tuple[tuple[EntryId, Incarnation], ...] = ()
 
 
 def shard_of(worker_id: WorkerId, shard_count: int) -> ShardId:
@@ -159,6 +161,7 @@
             incarnation=self._incarnation,
             epoch=Epoch(former_epoch + 1),
             nonce=random_id(),
+            declined=self._declined(shard),
         )
         if not await self._compare_and_swap(shard, record):
             return False
@@ -168,12 +171,19 @@
         )
         return True
 
-    async def hand_over(self, shard: ShardId) -> bool:
+    async def hand_over(
+        self, shard: ShardId, *, is_declined: bool = False
+    ) -> bool:
         """Release an owned shard for another entry; its epoch stays.
 
-        The caller stops using the shard first. Returns whether the record
-        was written.
+        The caller stops using the shard first. With ``is_declined``, this
+        entry takes the shard again only after all others have declined it.
+        Returns whether the record was written.
         """
+        declined = self._declined(shard)
+        if is_declined:
+            former = declined if self.has_other_candidate(shard) else ()
+            declined = (*former, (self._entry_id, self._incarnation))
         epoch = self.owned.pop(shard, None)
         if epoch is None or self._must_reread:
             return False
@@ -182,6 +192,7 @@
             incarnation=Incarnation(''),
             epoch=epoch,
             nonce=random_id(),
+            declined=declined,
         )
         return await self._compare_and_swap(shard, freed)
 
@@ -200,6 +211,7 @@
             incarnation=self._incarnation,
             epoch=Epoch(epoch + 1),
             nonce=random_id(),
+            declined=self._declined(shard),
         )
         if not await self._compare_and_swap(shard, record):
             return False
@@ -211,13 +223,21 @@
 
         Handing over a few at a time balances the shards after an entry starts.
         """
-        members = self._candidates()
         return [
             shard
             for shard in self.owned
-            if preferred_entry(shard, members) not in {None, self._entry_id}
+            if self._preferred_entry(shard) not in {None, self._entry_id}
         ]
 
+    @property
+    def is_only_candidate(self) -> bool:
+        """Whether no other entry may own shards."""
+        return not set(self._candidates()) - {self._entry_id}
+
+    def has_other_candidate(self, shard: ShardId) -> bool:
+        """Whether an entry other than this one has not declined a shard."""
+        return bool(self._willing_entries(shard) - {self._entry_id})
+
     def mark_lost(self, shard: ShardId) -> None:
         """Disown a shard after a refusal that proves a higher epoch."""
         if self.owned.pop(shard, None) is not None:
@@ -301,7 +321,29 @@
             # A hand-over did not reach the store. No other entry takes the
             # shard while its record names this process.
             return True
-        return preferred_entry(shard, self._candidates()) == self._entry_id
+        return self._preferred_entry(shard) == self._entry_id
+
+    def _preferred_entry(self, shard: ShardId) -> EntryId | None:
+        willing = self._willing_entries(shard)
+        return preferred_entry(shard, willing or self._candidates())
+
+    def _willing_entries(self, shard: ShardId) -> set[EntryId]:
+        declined = {entry for entry, _ in self._declined(shard)}
+        return set(self._candidates()) - declined
+
+    def _declined(
+        self, shard: ShardId
+    ) -> tuple[tuple[EntryId, Incarnation], ...]:
+        """Return the living processes that have declined a shard."""
+        cached = self._records.get(shard)
+        if cached is None:
+            return ()
+        members = self._members()
+        return tuple(
+            (entry, incarnation)
+            for entry, incarnation in cached[0].declined
+            if members.get(entry) == incarnation
+        )
 
     def _may_take(self, shard: ShardId) -> bool:
         cached = self._records.get(shard)
