Hand over job shards to an entry that can call the workers

An entry keeps its job shards for as long as its member record lives. One that is cut off from all workers starts nothing of their jobs, and can't find out either how the tasks ended that it has placed: callers would see accepted jobs that wait, or seem to run, until the paths come back, although another entry could go on.

An entry that three workers in turn haven't answered, and none since, declines its job shards, one after the other, if another entry has not declined them. The 55 tests of tests.batch pass.

--- a/src/marjoramwharf/batch/failing_workers.py
+++ b/src/marjoramwharf/batch/failing_workers.py
@@ -21,6 +21,9 @@
 _INITIAL_UNREACHABLE_S = 5.0
 _MAX_UNREACHABLE_S = 60.0
 
+# Silence of a single worker says nothing about the ways of this entry.
+_MIN_SILENT_COUNT = 3
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerExclusion:
@@ -55,6 +58,7 @@
         self._records: dict[WorkerId, _FailureRecord] = {}
         self._exclusions: dict[WorkerId, WorkerExclusion] = {}
         self._unreachable: dict[WorkerId, _Unreachable] = {}
+        self._silent_in_turn: set[WorkerId] = set()
 
     def record_success(self, worker_id: WorkerId) -> None:
         """Reset a worker's failures and end its exclusion."""
@@ -85,9 +89,11 @@
     def record_reached(self, worker_id: WorkerId) -> None:
         """Record a worker that has answered a call by this entry."""
         self._unreachable.pop(worker_id, None)
+        self._silent_in_turn.clear()
 
     def record_unreachable(self, worker_id: WorkerId, now_s: float) -> None:
         """Avoid a worker that didn't answer, each time for twice as long."""
+        self._silent_in_turn.add(worker_id)
         former = self._unreachable.get(worker_id)
         if former is not None and former.until_s > now_s:
             return
@@ -96,6 +102,11 @@
             pause_s = min(2 * former.pause_s, _MAX_UNREACHABLE_S)
         self._unreachable[worker_id] = _Unreachable(now_s + pause_s, pause_s)
 
+    @property
+    def reaches_no_worker(self) -> bool:
+        """Whether several workers didn't answer since the latest answer."""
+        return len(self._silent_in_turn) >= _MIN_SILENT_COUNT
+
     def excluded_workers(self, now_s: float) -> frozenset[WorkerId]:
         """Return the workers that are excluded at present."""
         failing = frozenset(
--- a/src/marjoramwharf/programs/_job_shards.py
+++ b/src/marjoramwharf/programs/_job_shards.py
@@ -109,6 +109,22 @@
         # One at a time, since a shard has no owner during its handover.
         for moved in self._ownership.misplaced()[:1]:
             await self._hand_over(moved)
+        for declined in self._find_declinable()[:1]:
+            _log.warning('shard declined', shard=declined)
+            await self._hand_over(declined, is_declined=True)
+
+    def _find_declinable(self) -> list[ShardId]:
+        """Return the shards that another entry may serve better.
+
+        This entry can start no task of theirs if it reaches no worker.
+        """
+        if not self._runner.worker_failures.reaches_no_worker:
+            return []
+        return [
+            shard
+            for shard in self._ownership.owned
+            if self._ownership.has_other_candidate(shard)
+        ]
 
     async def _serve(self, shard: ShardId, served: _ServedShard) -> None:
         with served.scope:
@@ -146,7 +162,9 @@
             JobShard(shard, epoch, journal, self._policy)
         )
 
-    async def _hand_over(self, shard: ShardId) -> None:
+    async def _hand_over(
+        self, shard: ShardId, *, is_declined: bool = False
+    ) -> None:
         owned = self._runner.shard(shard)
         if owned is not None:
             with trio.move_on_after(_FLUSH_TIMEOUT_S):
@@ -159,7 +177,7 @@
                         reason=failure.reason.value,
                     )
         await self._stop_serving(shard)
-        await self._ownership.hand_over(shard)
+        await self._ownership.hand_over(shard, is_declined=is_declined)
 
     async def _stop_serving(self, shard: ShardId) -> None:
         served = self._served.get(shard)
