Reproduce work that waits for paths which only the owner has lost

In the harness an entry has `unreachable` workers, honoured by a client of its own (standins/partitioned_worker_client.py) that stands before the shared one: no answer until the timeout, and answers under way are lost. Cluster._worker_client_of is the one place where an entry's client is built.

--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -43,6 +43,7 @@
     FreezableWorkerClient,
     FreezeGate,
 )
+from standins.partitioned_worker_client import PartitionedWorkerClient
 from standins.polling_store import PollingMemoryStore
 from standins.simulated_worker import SimulatedWorker
 from standins.simulated_worker_client import MemoryWorkerClient
@@ -97,7 +98,8 @@
     """A process that competes for the cell.
 
     Cancelling ``scope`` kills it; ``gate`` lets it stand still for a while.
-    ``tenures_count`` tells how often it became the owner.
+    ``tenures_count`` tells how often it became the owner. It has no path to the
+    ``unreachable`` workers, while other entries may have one.
     """
 
     view: OwnerView = field(default_factory=OwnerView)
@@ -109,6 +111,7 @@
         default_factory=partial(Evacuations, evacuated_data_centre)
     )
     tenures_count: int = 0
+    unreachable: set[WorkerId] = field(default_factory=set)
 
 
 @dataclass
@@ -332,9 +335,7 @@
             ),
             context=CellContext(
                 store=FreezableStore(self.store, candidate.gate),
-                worker_client=FreezableWorkerClient(
-                    self.worker_client, candidate.gate
-                ),
+                worker_client=self._worker_client_of(candidate),
                 configuration=lambda: self.configuration,
                 workers_prefix='servers/',
                 decode_listing=self._decode_listing,
@@ -348,6 +349,13 @@
         finally:
             candidate.cell = None
 
+    def _worker_client_of(self, candidate: Candidate) -> FreezableWorkerClient:
+        """Return a client that reaches what this entry has a path to."""
+        return FreezableWorkerClient(
+            PartitionedWorkerClient(self.worker_client, candidate.unreachable),
+            candidate.gate,
+        )
+
     def _decode_listing(self, key: str, _body: bytes) -> WorkerListing:
         try:
             return self.listings[WorkerId(key.removeprefix('servers/'))]
