--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -165,10 +165,10 @@
         An error in one listing must not hide the other workers.
         """
         listing = self._decode_event(event)
-        if listing is None:
+        if listing is None or event.stored is None:
             return False
         try:
-            self._apply_listing(listing)
+            self._apply_listing(listing, event.stored.mod_revision)
         except Exception:
             log_unexpected(f'listing {event.key}')
             return False
@@ -183,11 +183,12 @@
             _LOG.warning('worker listing not decoded', error=str(failure))
             return None
 
-    def _apply_listing(self, listing: WorkerListing) -> None:
+    def _apply_listing(self, listing: WorkerListing, revision: int) -> None:
         worker = self.fleet.workers.get(listing.worker_id)
         if worker is None:
             worker = Worker(listing)
             self._add_worker(worker)
+        worker.record_listing(revision, now_s=boot_s())
         if listing.state is WorkerState.DRAINING:
             remaining_ms = listing.remaining_ms
             if remaining_ms is None:
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -90,8 +90,9 @@
     filling runs may be slowed or paused and none is added. ``headrooms``, their
     key and ``harms`` (by the image and the millicores of a task) are a cache of
     :mod:`scheduling.headroom`, which a new ``version`` invalidates. ``speed`` is
-    compared with that of other workers by the runs that ended there. Times in
-    seconds are those of the boot clock.
+    compared with that of other workers by the runs that ended there. The owner
+    saw the latest version of the listing, ``listing_revision`` of the store, at
+    ``listed_at_s``. Times in seconds are those of the boot clock.
     """
 
     listing: WorkerListing
@@ -111,6 +112,8 @@
     serving_millicores: int = 0
     serving_count: int = 0
     is_filling_paused: bool = False
+    listing_revision: int = 0
+    listed_at_s: float = 0
     version: int = 0
     headrooms_key: tuple[int, int] = (-1, -1)
     headrooms: tuple[ExpectedHeadroom, ...] = ()
@@ -179,6 +182,15 @@
         is_known = self.listing.born_ms and self.born_ms
         return not is_known or self.listing.born_ms == self.born_ms
 
+    def record_listing(self, revision: int, *, now_s: float) -> None:
+        """Record when the store first showed this version of the listing.
+
+        A whole read of the list shows versions again that are known already.
+        """
+        if revision != self.listing_revision:
+            self.listing_revision = revision
+            self.listed_at_s = now_s
+
     def is_usable(self, now_s: float) -> bool:
         """Whether the worker takes new runs at all, whatever their size."""
         is_ready = self.listing.state is WorkerState.READY
