Log the tasks that wait longest, and why no worker takes them

A task passed over by the planner, one held by a start without an answer, and one without reachable workers looked the same.

Change: the owner logs `cell: tasks wait` at most every 3 s, and only if a task has waited for more than 3 s. The line names at most three tasks, one of each step: how long it waits, what the planner's latest pass did with its step, or the run that holds it, and the number of workers by reason. Open jobs without a ready task or a run are counted. The planner records the outcome of each step and the tickets it saw; nothing reads them but the log. `allowed_harm` has two decimals in both lines that show it.

--- a/src/marjoramwharf/cells/decision_log.py
+++ b/src/marjoramwharf/cells/decision_log.py
@@ -47,11 +47,16 @@
         workers=sorted({run.worker_id for run in plan.runs}),
         tier=plan.rank.tier.name.lower(),
         slack_ms=round(plan.rank.slack_ms),
-        allowed_harm=round(min(plan.allowed_harm, _MAX_LOGGED_HARM), 1),
+        allowed_harm=loggable_harm(plan.allowed_harm),
         config=config_version,
     )
 
 
+def loggable_harm(allowed_harm: float) -> float:
+    """Return the largest allowed harm as a number that JSON can represent."""
+    return round(min(allowed_harm, _MAX_LOGGED_HARM), 2)
+
+
 def log_end(run: Run, how: RunEnd) -> None:
     """Log the end of a run."""
     _LOG.info(
--- a/src/marjoramwharf/cells/plan_loop.py
+++ b/src/marjoramwharf/cells/plan_loop.py
@@ -10,6 +10,7 @@
 from marjoramwharf.cells.auto_reset_event import AutoResetEvent
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.decision_log import log_plan
+from marjoramwharf.cells.waiting_log import WaitingLog
 from marjoramwharf.scheduling.job_table import JobTable
 from marjoramwharf.scheduling.planner import Planner
 from marjoramwharf.scheduling.policy import Configuration
@@ -30,7 +31,8 @@
 
     Nothing is planned unless ``may_plan``. ``on_planned`` is called after a
     pass that has planned runs, which then have to be stored, and ``preempt``
-    after each pass, to make room for tasks that found none.
+    after each pass, to make room for tasks that found none. The tasks that wait
+    long are logged, also while nothing is planned.
     """
 
     planner: Planner
@@ -43,6 +45,12 @@
 
     async def run(self) -> None:
         """Plan until cancelled."""
+        waiting_log = WaitingLog(self.planner, self.configuration)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(waiting_log.run)
+            await self._plan_repeatedly()
+
+    async def _plan_repeatedly(self) -> None:
         while True:
             await self.signal.wait(timeout_s=self._next_pass_s())
             if self.may_plan():
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -27,6 +27,7 @@
     queue_of,
     step_rank,
 )
+from marjoramwharf.scheduling.pass_outcomes import PassOutcomes, StepOutcome
 from marjoramwharf.scheduling.placement import (
     DEFAULT_SERVING_JOB_MILLICORES,
     PlacementContext,
@@ -74,7 +75,8 @@
 class Planner:
     """Places the ready tasks of a job table on the workers of a fleet.
 
-    ``shortages`` are the urgent tasks that found no room in the latest pass.
+    ``shortages`` are the urgent tasks that found no room in the latest pass,
+    and ``latest_pass`` tells what became of each step; nothing is decided by it.
     """
 
     job_table: JobTable
@@ -82,6 +84,7 @@
     model: InterferenceModel
     tickets: TicketSource
     shortages: list[Shortage] = field(default_factory=list)
+    latest_pass: PassOutcomes = field(default_factory=PassOutcomes)
 
     def plan(
         self,
@@ -93,6 +96,7 @@
         """Plan runs for the ready tasks that fit, and reserve for them."""
         planned: list[StepPlan] = []
         self.shortages.clear()
+        self.latest_pass.begin(now_s)
         if not self.job_table.ready:
             return planned
         unplaceable = UnplaceableSteps()
@@ -109,6 +113,7 @@
                 allowed_harm=_allowed_harm(first, rank, pool),
                 serving_job_millicores=mean_millicores,
             )
+            self.latest_pass.consider(first.step, context)
             try:
                 plan = self._plan_group(
                     _within_room(group, rank, room, service, usable),
@@ -121,6 +126,7 @@
             except Exception:
                 # One job must not keep all others from being planned.
                 log_unexpected(f'planning of {first.name}')
+                self.latest_pass.record(first.step, StepOutcome.ERROR)
                 continue
             self._record_shortage(group, plan, rank, usable)
             if plan is not None:
@@ -190,12 +196,18 @@
         step = group[0].step.request
         allowed_harm = context.allowed_harm
         if unplaceable.rules_out(service, step, allowed_harm):
+            self.latest_pass.record(group[0].step, StepOutcome.RULED_OUT)
             return None
         runs = self._place_group(group, candidates, context)
+        is_placed = len(runs) == len(group)
+        self.latest_pass.record(
+            group[0].step,
+            StepOutcome.PLACED if is_placed else StepOutcome.NO_WORKER,
+        )
         # A gang or a step with one rack or tickets isn't offered all workers,
         # so its failure doesn't prove that another step finds none.
         had_all_workers = not (step.is_gang or step.needs_one_rack)
-        if len(runs) < len(group) and had_all_workers:
+        if had_all_workers and not is_placed:
             if self.tickets(group[0].step) is None:
                 unplaceable.add(service, step, allowed_harm)
         return StepPlan(runs, rank, allowed_harm) if runs else None
@@ -321,6 +333,7 @@
     ) -> list[Candidate]:
         """Return those candidates that have a ticket, if a task needs one."""
         tickets = self.tickets(task.step)
+        self.latest_pass.tickets[task.step] = tickets
         if tickets is None:
             return candidates
         return [
