Count and name stored jobs that their owner doesn't know

Cause: an entry answers the state of a job from the store if the owner knows no such job, without a trace.

Change: `Intake.status` tells an owner that has no such job from one that couldn't be asked. If the stored job is open and was accepted more than 3 s ago, it is counted once and logged as `intake: stored job unknown to owner`, at most one line a second. Callers get the same answers as before, also for a damaged request. Only jobs whose callers ask are found.

--- a/src/marjoramwharf/cells/counters.py
+++ b/src/marjoramwharf/cells/counters.py
@@ -25,7 +25,9 @@
     """Totals since the process started, and samples since the last scrape.
 
     ``other_clock_answers_count`` is the number of answers to start orders that
-    the clock of the order's lease can't have given. ``wait_samples_s`` are the
+    the clock of the order's lease can't have given, and
+    ``jobs_unknown_to_owner_count`` that of the open jobs that were found in the
+    store and that their owner didn't know. ``wait_samples_s`` are the
     times from a task's readiness to its start, ``write_samples_s`` the
     durations of group commits, and
     ``answer_samples_s`` the times from a caller's request to the answer.
@@ -38,6 +40,7 @@
     tenures_count: int = 0
     pace_orders_count: int = 0
     other_clock_answers_count: int = 0
+    jobs_unknown_to_owner_count: int = 0
     moved_runs_count: int = 0
     preempted_runs_count: int = 0
     written_bytes: int = 0
--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -12,8 +12,13 @@
 
 import trio
 
+from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.counters import CellCounters
-from marjoramwharf.cells.job_status import PublicJobState, StatusAnswer
+from marjoramwharf.cells.job_status import (
+    FINAL_STATES,
+    PublicJobState,
+    StatusAnswer,
+)
 from marjoramwharf.cells.owner_link import CellSource, OwnerLink
 from marjoramwharf.cells.records import (
     CellId,
@@ -25,7 +30,13 @@
     request_key,
 )
 from marjoramwharf.cells.submission_outcome import SubmissionOutcome
-from marjoramwharf.errors import Failure, StoreAnswerLost, StoreUnavailable
+from marjoramwharf.cells.unknown_jobs import UnknownJobs
+from marjoramwharf.errors import (
+    Failure,
+    JournalDamaged,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.store import (
     Committed,
@@ -53,6 +64,17 @@
     return True
 
 
+@dataclass(frozen=True, slots=True)
+class _OwnerReply:
+    """The owner's answer about a job, if it gave one.
+
+    The job ``is_unknown`` if the owner answered that it has no such job.
+    """
+
+    answer: StatusAnswer | None
+    is_unknown: bool
+
+
 @dataclass(slots=True)
 class Intake:
     """Handles the requests of callers to a cell at one entry.
@@ -68,6 +90,11 @@
     local_cell: CellSource
     is_store_reachable: Callable[[], bool] = _always
     counters: CellCounters = field(default_factory=CellCounters)
+    _unknown_jobs: UnknownJobs = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Share the counters with the record of unknown jobs."""
+        self._unknown_jobs = UnknownJobs(self.counters)
 
     async def submit(
         self,
@@ -100,7 +127,7 @@
 
     async def _accept_if_known(self, request: JobRequest) -> SubmissionOutcome:
         """Accept a job only if the owner has it, since no write can be made."""
-        if await self._ask_owner(request.job_id) is not None:
+        if (await self._ask_owner(request.job_id)).answer is not None:
             _LOG.info('job accepted', job=request.job_id, is_new=False)
             return SubmissionOutcome.ACCEPTED
         _LOG.info('submission refused', job=request.job_id, store='away')
@@ -164,10 +191,13 @@
         further, so an answer that may be outdated doesn't count. Raises
         ``StoreUnavailable`` if the store doesn't answer then.
         """
-        answer = await self._ask_owner(job_id)
+        reply = await self._ask_owner(job_id)
+        answer = reply.answer
         if answer is not None and not answer.may_be_outdated:
             return answer.state
-        return await self._read_status(job_id)
+        return await self._read_status(
+            job_id, is_unknown_to_owner=reply.is_unknown
+        )
 
     async def cancel(self, job_id: JobId, *, deadline_s: float) -> bool:
         """Store the cancellation of a job; return whether the job exists.
@@ -227,29 +257,49 @@
         is_new = isinstance(outcome, Committed)
         _LOG.info('job accepted', job=request.job_id, is_new=is_new)
 
-    async def _ask_owner(self, job_id: JobId) -> StatusAnswer | None:
+    async def _ask_owner(self, job_id: JobId) -> _OwnerReply:
         cell = self.local_cell()
         if cell is not None and cell.is_loaded:
-            return cell.answer_status(job_id)
+            return _reply_of(cell.answer_status(job_id))
         try:
-            return await self.owner_link.status(job_id)
+            return _reply_of(await self.owner_link.status(job_id))
         except Failure as failure:
             _LOG.debug('owner call failed', job=job_id, error=str(failure))
-            return None
+            return _OwnerReply(None, is_unknown=False)
 
-    async def _read_status(self, job_id: JobId) -> PublicJobState | None:
+    async def _read_status(
+        self, job_id: JobId, *, is_unknown_to_owner: bool
+    ) -> PublicJobState | None:
         stored = await self.store.read(request_key(self.cell, job_id))
         if stored is None:
             return None
         progress = await self.store.read(progress_key(self.cell, job_id))
         cancelled = await self.store.read(cancel_key(self.cell, job_id))
-        return _state_from_store(progress, is_cancelled=cancelled is not None)
+        state = _state_from_store(progress, is_cancelled=cancelled is not None)
+        if is_unknown_to_owner and state not in FINAL_STATES:
+            self._record_unknown(stored)
+        return state
+
+    def _record_unknown(self, stored: StoredValue) -> None:
+        """Record an open job that the owner doesn't know.
+
+        A damaged request is left out; the owner has logged it.
+        """
+        try:
+            request = decode(stored.body, JobRequest, key=stored.key)
+        except JournalDamaged:
+            return
+        self._unknown_jobs.record(request, now_s=boot_s(), now_ms=wall_ms())
 
     async def _read_request_revision(self, job_id: JobId) -> int | None:
         stored = await self.store.read(request_key(self.cell, job_id))
         return None if stored is None else stored.mod_revision
 
 
+def _reply_of(answer: StatusAnswer | None) -> _OwnerReply:
+    return _OwnerReply(answer, is_unknown=answer is None)
+
+
 def _state_from_store(
     progress: StoredValue | None,
     *,
--- a/src/marjoramwharf/scheduling/waiting_reasons.py
+++ b/src/marjoramwharf/scheduling/waiting_reasons.py
@@ -66,6 +66,19 @@
     HAS_ROOM = 'has_room'
 
 
+# The reasons that hold for all tasks.
+FLEET_REASONS = (
+    WorkerReason.GONE,
+    WorkerReason.DRAINING,
+    WorkerReason.UNREACHABLE_ALIVE,
+    WorkerReason.UNREACHABLE_SILENT,
+    WorkerReason.OTHER_INCARNATION,
+    WorkerReason.EVACUATED,
+    WorkerReason.BLOCKED,
+    WorkerReason.QUARANTINED,
+    WorkerReason.USABLE,
+)
+
 _UNUSABLE_STATES = {
     WorkerState.GONE: WorkerReason.GONE,
     WorkerState.DRAINING: WorkerReason.DRAINING,
--- a/tests/cells/test_intake.py
+++ b/tests/cells/test_intake.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
+from unittest.mock import patch
 
 import trio
 
@@ -150,6 +151,10 @@
         """Guards against the state of an owner that was replaced."""
         run_with_clock(self._outdated_owner)
 
+    def test_job_unknown_to_owner(self) -> None:
+        """Guards against a stored job that the owner misses unseen."""
+        run_with_clock(self._job_unknown_to_owner)
+
     def test_cancel(self) -> None:
         """Guards against a cancellation that is acknowledged but not stored."""
         run_with_clock(self._cancel)
@@ -168,6 +173,29 @@
             entry.store.is_down = True
             self.assertEqual(503, (await entry.ask('GET')).status)
 
+    async def _job_unknown_to_owner(self) -> None:
+        """Only a job that is open and wasn't just accepted is counted, once."""
+        async with _open_entry() as entry:
+            counters = entry.intake.counters
+            cancelled = _PATH.replace('f8', 'f9')
+            for path in (_PATH, cancelled):
+                await entry.ask('POST', path, body=_BODY)
+            await entry.ask('DELETE', cancelled)
+            self.enterContext(
+                patch.object(_FormerCell, 'answer_status', return_value=None)
+            )
+            entry.intake.local_cell = _FormerCell
+            for passed_s, count in ((0, 0), (4, 1), (4, 1)):
+                await trio.sleep(passed_s)
+                await entry.ask('GET', cancelled)
+                state = _decode_body(await entry.ask('GET'))
+                self.assertEqual({'State': 'queued'}, state)
+                self.assertEqual(count, counters.jobs_unknown_to_owner_count)
+            # A damaged request changes no answer.
+            damaged = Write(request_key(CELL, _ID), b'?')
+            await entry.store.commit([], [damaged])
+            self.assertEqual(200, (await entry.ask('GET')).status)
+
     async def _paths(self) -> None:
         async with _open_entry() as entry:
             for path in ('/other/1', '/recipes/short', f'{_PATH}0'):
