Export why workers take no runs, and how long ready tasks wait

Cause: the metrics told reachable from unreachable workers only.

Change: `workers_by_reason{kind}` with all reasons of the fleet, among them `unreachable_alive` for workers that the owner can't reach and that renew their listing; `oldest_ready_task_seconds`, `unconfirmed_starts`, `unconfirmed_start_millicores` and `jobs_unknown_to_owner_total`.

--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -15,10 +15,19 @@
 import trio
 
 from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.links.http_server import HttpRequest, HttpResponse
 from marjoramwharf.log_output import BoundedOutput
+from marjoramwharf.scheduling.fleet import Fleet
+from marjoramwharf.scheduling.waiting_reasons import (
+    FLEET_REASONS,
+    count_workers,
+    held_by_unconfirmed,
+    is_unconfirmed,
+)
+from marjoramwharf.scheduling.waiting_tasks import oldest_wait_s
 
 _PREFIX = 'marjoramwharf_'
 _BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
@@ -65,6 +74,9 @@
             'other_clock_answers_total': {
                 '': counters.other_clock_answers_count,
             },
+            'jobs_unknown_to_owner_total': {
+                '': counters.jobs_unknown_to_owner_count,
+            },
             'moved_runs_total': {'': counters.moved_runs_count},
             'preempted_runs_total': {'': counters.preempted_runs_count},
             'store_commits_total': {'': counters.commits_count},
@@ -82,8 +94,13 @@
             return {'owns_cell': {'': 0}}
         fleet = cell.worker_registry.fleet
         workers = fleet.workers.values()
+        now_s = boot_s()
         return {
             'owns_cell': {'': 1},
+            **_waiting_values(fleet, now_s),
+            'oldest_ready_task_seconds': {
+                '': oldest_wait_s(cell.job_table, now_s),
+            },
             'evacuated_data_centres': {'': len(fleet.evacuated)},
             'runs_in_evacuated_data_centres': {
                 '': sum(
@@ -151,5 +168,28 @@
         return self._metrics[name]
 
 
+def _waiting_values(
+    fleet: Fleet, now_s: float
+) -> Mapping[str, Mapping[str, float]]:
+    """Return the workers by reason, and what unconfirmed starts hold there."""
+    counts = count_workers(fleet, now_s)
+    unconfirmed = [
+        run
+        for worker in fleet.workers.values()
+        for run in worker.runs
+        if is_unconfirmed(run)
+    ]
+    return {
+        # A gauge keeps its value, so those at 0 are set too.
+        'workers_by_reason': {
+            reason.value: counts[reason] for reason in FLEET_REASONS
+        },
+        'unconfirmed_starts': {'': len(unconfirmed)},
+        'unconfirmed_start_millicores': {
+            '': held_by_unconfirmed(unconfirmed).cpu_millicores,
+        },
+    }
+
+
 def _count_by_value(counts: Mapping[Any, int]) -> dict[str, float]:
     return {member.value: count for member, count in counts.items()}
