--- a/src/marjoramwharf/cells/waiting_log.py
+++ b/src/marjoramwharf/cells/waiting_log.py
@@ -15,6 +15,7 @@
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.job_state import Run, Task
 from marjoramwharf.scheduling.ordering import queue_of
+from marjoramwharf.scheduling.pass_outcomes import StepOutcome
 from marjoramwharf.scheduling.placement import PlacementContext
 from marjoramwharf.scheduling.planner import Planner
 from marjoramwharf.scheduling.policy import Configuration
@@ -68,15 +69,20 @@
             self._log_waits(waits, now_s)
 
     def _log_waits(self, waits: LongWaits, now_s: float) -> None:
+        latest = self.planner.latest_pass
+        outcomes = Counter(
+            latest.outcome_of(waiting.task.step) for waiting in waits.ready
+        )
         _LOG.info(
             'tasks wait',
-            ready_count=waits.ready_count,
+            ready_count=len(waits.ready),
+            outcomes=_by_value(outcomes),
             held_count=waits.held_count,
             idle_jobs_count=len(waits.idle_jobs),
             idle_jobs=[
                 job.job_id for job in waits.idle_jobs[:_MAX_LOGGED_JOBS_COUNT]
             ],
-            pass_age_s=round(now_s - self.planner.latest_pass.began_s, 3),
+            pass_age_s=round(now_s - latest.began_s, 3),
             workers=_by_value(count_workers(self.planner.fleet, now_s)),
             tasks=[self._describe(waiting, now_s) for waiting in waits.longest],
         )
@@ -149,5 +155,7 @@
         )
 
 
-def _by_value(counts: Counter[WorkerReason]) -> dict[str, int]:
-    return {reason.value: count for reason, count in counts.items()}
+def _by_value(
+    counts: Counter[WorkerReason] | Counter[StepOutcome],
+) -> dict[str, int]:
+    return {member.value: count for member, count in counts.items()}
--- a/src/marjoramwharf/programs/explain.py
+++ b/src/marjoramwharf/programs/explain.py
@@ -4,7 +4,9 @@
 
 Printed in order of time are the lines that name the job or one of its tasks.
 Between the first and the last of them, changes of the job's workers, of owners
-and of the store are printed too. Unreadable lines are counted and reported.
+and of the store are printed too, and what the owner says of tasks that wait.
+For a job without an end, these go on to the end of the logs. Unreadable lines
+are counted and reported.
 """
 
 from __future__ import annotations
@@ -28,11 +30,14 @@
 
 _HIDDEN = frozenset((TIME_FIELD, EVENT_FIELD, 'level'))
 
+_WAITING_EVENT = 'cell: tasks wait'
+
 # Events that explain a job's delay without naming it.
 _CONTEXT_PREFIXES = ('owner:', 'main:', 'store:')
 _CONTEXT_EVENTS = frozenset(
     (
         'cell: cell loaded',
+        _WAITING_EVENT,
         'worker: worker lost',
         'worker: worker reached',
         'worker: worker first polled',
@@ -44,6 +49,8 @@
     ),
 )
 
+_END_EVENTS = frozenset(('cell: job finished', 'inbox: job cancelled'))
+
 
 @dataclass
 class JobTimeline:
@@ -74,6 +81,8 @@
         )
     }
     first, last = job_lines[0].time, job_lines[-1].time
+    if not any(line.event in _END_EVENTS for line in job_lines):
+        last = all_lines[-1].time
     timeline.lines = [
         line
         for line in all_lines
@@ -95,8 +104,13 @@
 
 def _names_job(line: LogLine, job_id: str) -> bool:
     job = str(line.fields.get('job', ''))
-    task = str(line.fields.get('task', ''))
-    return job == job_id or task.partition('.')[0] == job_id
+    tasks = [str(line.fields.get('task', ''))]
+    if line.event == _WAITING_EVENT:
+        tasks.extend(
+            str(waiting['task']) for waiting in line.fields.get('tasks', ())
+        )
+    names = {job, *(task.partition('.')[0] for task in tasks)}
+    return job_id in names
 
 
 def _is_context(line: LogLine, workers: set[str]) -> bool:
--- a/src/marjoramwharf/scheduling/waiting_tasks.py
+++ b/src/marjoramwharf/scheduling/waiting_tasks.py
@@ -30,13 +30,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LongWaits:
-    """What waits long: tasks that are ready, and tasks that a run holds.
+    """What waits long: the ``ready`` tasks, and the number held by a run.
 
     ``longest`` are those that wait longest, one of each step. ``idle_jobs`` are
     open jobs without a ready task, a run, or an occurrence that is due later.
     """
 
-    ready_count: int
+    ready: list[WaitingTask]
     held_count: int
     longest: list[WaitingTask]
     idle_jobs: list[Job]
@@ -72,7 +72,7 @@
         if job not in active and _should_be_active(job, now_s)
     ]
     return LongWaits(
-        ready_count=len(ready),
+        ready=ready,
         held_count=len(held),
         longest=_longest((*ready, *held)),
         idle_jobs=idle,
--- a/tests/cells/test_waiting_log.py
+++ b/tests/cells/test_waiting_log.py
@@ -103,6 +103,7 @@
                 await trio.sleep(_LONG_S)
         waiting = self._only_task()
         self.assertEqual('ruled_out', waiting['outcome'])
+        self.assertEqual({'ruled_out': 1}, self._lines()[-1]['outcomes'])
         self.assertEqual({'has_room': 3}, waiting['workers'])
 
     async def _nothing_waits(self) -> None:
--- a/tests/programs/test_explain.py
+++ b/tests/programs/test_explain.py
@@ -51,6 +51,20 @@
         self.assertEqual(1, timeline.reader.unreadable_count)
         self.assertIn('worker=w1', describe(timeline.lines[2]))
 
+    def test_unfinished_job(self) -> None:
+        """Guards against a job that waits without the lines that say why."""
+        waiting = [{'task': 'other.0.0.0', 'outcome': 'ruled_out'}]
+        lines = [
+            _line(1, 'intake: job accepted', job=_JOB),
+            _line(9, 'cell: tasks wait', tasks=waiting),
+        ]
+        timeline = build_timeline(_JOB, {'e1': lines})
+        self.assertEqual(2, len(timeline.lines))
+        self.assertEqual(1, len(build_timeline('other', {'e1': lines}).lines))
+        finished = _line(5, 'cell: job finished', job=_JOB)
+        timeline = build_timeline(_JOB, {'e1': lines, 'e2': [finished]})
+        self.assertEqual(2, len(timeline.lines))
+
     def test_unknown_job(self) -> None:
         """Guards against context events for a job that no line names."""
         timeline = build_timeline('none', {'e1': [_line(1, 'main: started')]})
