Keep the connections to relaying peers apart from the relay of store calls

Calls to workers will need the same connections: opened while they are wanted, to a few random peers, replaced where a peer is of no use. The relay of store calls behaves as before.

--- a/src/marjoramwharf/cells/entry_directory.py
+++ b/src/marjoramwharf/cells/entry_directory.py
@@ -21,9 +21,9 @@
     entry_key,
 )
 from marjoramwharf.errors import Failure, JournalDamaged
-from marjoramwharf.ids import LeaseId
+from marjoramwharf.ids import EntryId, LeaseId
 from marjoramwharf.links.store import PollingStore, StoredValue, Write
-from marjoramwharf.links.store_relay import PeerAddress
+from marjoramwharf.links.relay_peers import PeerAddress
 from marjoramwharf.logs import part_logger
 
 _LOG = part_logger('entries')
@@ -94,4 +94,10 @@
     except JournalDamaged as failure:
         _LOG.error('entry record ignored', error=str(failure))
         return None
-    return PeerAddress(record.entry_id, record.host, record.port, record.secret)
+    return PeerAddress(
+        EntryId(record.entry_id),
+        record.host,
+        record.port,
+        record.secret,
+        record.cpu_share,
+    )
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -15,7 +15,7 @@
 
 from marjoramwharf.errors import JournalDamaged
 from marjoramwharf.ids import JobId, WorkerId
-from marjoramwharf.json_bodies import Port
+from marjoramwharf.json_bodies import Port, Ratio
 from marjoramwharf.scheduling.interference import KnownWeight
 from marjoramwharf.scheduling.job_state import (
     Job,
@@ -38,6 +38,7 @@
     """An entry, such as the owner of a cell, and its address for messages.
 
     The ``nonce`` of an owner's record identifies the write that stored it.
+    ``cpu_share`` is the speed of the entry in cores.
     """
 
     entry_id: str
@@ -45,6 +46,7 @@
     port: Port
     secret: str
     nonce: str = ''
+    cpu_share: Ratio = 1
 
 
 class RunRecord(Struct, frozen=True, array_like=True):
--- a/src/marjoramwharf/links/store_relay.py
+++ b/src/marjoramwharf/links/store_relay.py
@@ -3,11 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from functools import partial
-
-import trio
 
 from marjoramwharf.errors import (
     BadFrame,
@@ -18,6 +14,7 @@
 )
 from marjoramwharf.links.peer_client import PeerClient
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
+from marjoramwharf.links.relay_peers import PeerSource, RelayPeers
 from marjoramwharf.links.store import PollingStore
 from marjoramwharf.links.store_calls import (
     CallOutcome,
@@ -33,52 +30,18 @@
     make_failure,
 )
 from marjoramwharf.links.store_reachability import StoreReachability
-from marjoramwharf.links.tcp import open_stream
 from marjoramwharf.links.thrift_types.peer import ttypes
-from marjoramwharf.logs import part_logger
-
-_LOG = part_logger('relay')
 
 STORE_METHOD = 'store'
 
 # Number of peers to connect to while the store is unreachable.
 _MAX_PEERS_COUNT = 2
 
-# Connections stay open this long after the store became reachable again. A
-# peer that is not connected within the connect timeout is replaced by another.
-_KEEP_OPEN_S = 5.0
-_CONNECT_TIMEOUT_S = 0.7
-_CHECK_INTERVAL_S = 0.1
-
 # Longer than a peer's own timeout for a call to the store.
 _CALL_TIMEOUT_S = 0.9
 _MS_PER_S = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class PeerAddress:
-    """Address of a peer's message port, with the secret that it requires."""
-
-    entry_id: str
-    host: str
-    port: int
-    secret: str
-
-
-PeerSource = Callable[[], Sequence[PeerAddress]]
-
-
-@dataclass(slots=True, eq=False)
-class _PeerConnection:
-    client: PeerClient
-    opened_s: float
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
-
-    async def run(self) -> None:
-        with self.scope:
-            await self.client.run()
-
-
 @dataclass(slots=True)
 class StoreRelay:
     """Keeps connections to a few peers while the store is unreachable.
@@ -91,33 +54,26 @@
     identity: PeerIdentity
     reachability: StoreReachability
     rng: random.Random = field(default_factory=random.Random)
-    _connections: dict[PeerAddress, _PeerConnection] = field(
-        default_factory=dict
-    )
-    _last_unreachable_s: float = 0
+    _peers: RelayPeers = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the connections to peers."""
+        self._peers = RelayPeers(
+            self.peers,
+            self.identity,
+            lambda: self.reachability.is_unreachable,
+            size=_MAX_PEERS_COUNT,
+            rng=self.rng,
+        )
 
     @property
     def is_connected(self) -> bool:
         """Whether at least one peer is connected."""
-        return any(
-            connection.client.peer for connection in self._connections.values()
-        )
+        return bool(self._peers.connected())
 
     async def run(self) -> None:
         """Connect to peers whenever the store is unreachable; never returns."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                await trio.sleep(_CHECK_INTERVAL_S)
-                now_s = trio.current_time()
-                if self.reachability.is_unreachable:
-                    self._last_unreachable_s = now_s
-                    self._close_unconnected(now_s)
-                    self._connect(nursery, now_s)
-                elif (
-                    self._connections
-                    and now_s - self._last_unreachable_s > _KEEP_OPEN_S
-                ):
-                    self._close(tuple(self._connections))
+        await self._peers.run()
 
     async def call(self, call: StoreCall) -> StoreReply:
         """Let the first connected peer execute a call.
@@ -125,45 +81,10 @@
         Raises ``PeerUnreachable`` if no peer is connected, so that nothing
         was sent, else what the store's method raises.
         """
-        for connection in tuple(self._connections.values()):
-            if connection.client.peer is not None:
-                return await _send_call(connection.client, call)
-        raise PeerUnreachable(message='no peer is connected')
-
-    def _connect(self, nursery: trio.Nursery, now_s: float) -> None:
-        candidates = [
-            peer
-            for peer in self.peers()
-            if peer not in self._connections
-            and peer.entry_id != self.identity.entry_id
-        ]
-        self.rng.shuffle(candidates)
-        for peer in candidates[: _MAX_PEERS_COUNT - len(self._connections)]:
-            connection = _PeerConnection(self._make_client(peer), now_s)
-            self._connections[peer] = connection
-            nursery.start_soon(connection.run)
-
-    def _close_unconnected(self, now_s: float) -> None:
-        self._close(
-            [
-                peer
-                for peer, connection in self._connections.items()
-                if connection.client.peer is None
-                and now_s - connection.opened_s > _CONNECT_TIMEOUT_S
-            ],
-        )
-
-    def _close(self, peers: Sequence[PeerAddress]) -> None:
-        for peer in peers:
-            self._connections.pop(peer).scope.cancel()
-
-    def _make_client(self, peer: PeerAddress) -> PeerClient:
-        return PeerClient(
-            partial(open_stream, peer.host, peer.port),
-            identity=self.identity,
-            secret=peer.secret,
-            rng=self.rng,
-        )
+        clients = tuple(self._peers.connected().values())
+        if not clients:
+            raise PeerUnreachable(message='no peer is connected')
+        return await _send_call(clients[0], call)
 
 
 async def handle_store_call(
--- a/tests/links/test_relayed_store.py
+++ b/tests/links/test_relayed_store.py
@@ -24,6 +24,7 @@
 from marjoramwharf.ids import DataCentreId, EntryId, Incarnation, LeaseId
 from marjoramwharf.links.http_server import open_listener
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
+from marjoramwharf.links.relay_peers import PeerAddress
 from marjoramwharf.links.peer_server import PeerServer
 from marjoramwharf.links.relayed_store import RelayedStore
 from marjoramwharf.links.store import Committed, Guard, Write
@@ -33,11 +34,7 @@
     decode_reply,
 )
 from marjoramwharf.links.store_reachability import StoreReachability
-from marjoramwharf.links.store_relay import (
-    PeerAddress,
-    StoreRelay,
-    handle_store_call,
-)
+from marjoramwharf.links.store_relay import StoreRelay, handle_store_call
 from marjoramwharf.links.thrift_types.peer import ttypes
 from standins.polling_store import PollingMemoryStore
 
@@ -94,8 +91,8 @@
     port = listener.socket.getsockname()[1]
     reachability = StoreReachability()
     peers = (
-        PeerAddress('e1', '127.0.0.1', 1, 'its own'),
-        PeerAddress('e2', '127.0.0.1', port, _SECRET),
+        PeerAddress(EntryId('e1'), '127.0.0.1', 1, 'its own'),
+        PeerAddress(EntryId('e2'), '127.0.0.1', port, _SECRET),
     )
     relay = StoreRelay(
         lambda: peers,
