Close idle connections also where no further request goes to their address

Cause: connections that were idle for 8 s were closed only by another request to the same address. A former owner, or an entry that calls a worker for another one, sends none, so up to four connections to each worker stay open until its process ends; a worker takes 64 in all. Change: the client closes them every 4 s. test_idle_connections_without_requests fails without the reaper (there was none to start), and passes with it.

--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -30,6 +30,7 @@
 # A connection that was idle for longer is not reused: the server may have
 # closed it, or it may be dead without a reset.
 _MAX_IDLE_S = 8.0
+_REAP_PERIOD_S = 4.0
 
 Address = tuple[str, int]
 
@@ -176,6 +177,18 @@
             raise NotConnected(f'no connection within {timeout_s} s')
         raise CallFailed(f'no response within {timeout_s} s')
 
+    async def run_reaper(self) -> None:
+        """Close connections that were idle for too long, until cancelled.
+
+        A server may take a limited number of them. Requests to its address
+        close them as well, but there may be none any more.
+        """
+        while True:
+            await trio.sleep(_REAP_PERIOD_S)
+            for pools in tuple(self._idle_connections.values()):
+                for idle in tuple(pools.values()):
+                    await _close_expired(idle)
+
     async def _attempt(self, exchange: _Exchange) -> ClientResponse:
         connection = await self._acquire(exchange)
         exchange.may_be_sent = True
--- a/tests/cells/test_connection_use.py
+++ b/tests/cells/test_connection_use.py
@@ -68,6 +68,10 @@
         """Guards against connections that stay open and are never used."""
         trio.run(self._idle_connections, clock=_fast_clock())
 
+    def test_idle_connections_without_requests(self) -> None:
+        """Guards against connections that a former owner never closes."""
+        trio.run(self._idle_without_requests, clock=_fast_clock())
+
     async def _many_orders(self) -> None:
         async with open_cluster(('w1',)) as (cluster, nursery):
             cluster.spawn(nursery, 'e1')
@@ -145,6 +149,17 @@
             await trio.sleep(_IDLE_S / 2)
             self.assertEqual(1, server.open_count)
 
+    async def _idle_without_requests(self) -> None:
+        client = HttpClient()
+        async with raw_server() as server, trio.open_nursery() as nursery:
+            nursery.start_soon(client.run_reaper)
+            await client.request('GET', server.url, timeout_s=60)
+            await trio.sleep(_IDLE_S / 2)
+            self.assertEqual(1, server.open_count)
+            await trio.sleep(_IDLE_S)
+            self.assertEqual(0, server.open_count)
+            nursery.cancel_scope.cancel()
+
 
 def _context(client: MemoryWorkerClient) -> LinkContext:
     return LinkContext(
