--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -17,13 +17,13 @@
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.decision_log import log_end, log_finished
 from marjoramwharf.cells.inbox import Inbox
-from marjoramwharf.cells.job_cleanup import remove_finished_jobs
 from marjoramwharf.cells.job_status import (
     FINAL_STATES,
     PublicJobState,
     StatusAnswer,
 )
 from marjoramwharf.cells.link_context import LinkContext
+from marjoramwharf.cells.maintenance import Maintenance
 from marjoramwharf.cells.model_saver import ModelSaver
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.preemptor import Preemptor
@@ -32,7 +32,7 @@
 from marjoramwharf.cells.run_mover import RunMover
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.ids import JobId, TaskId, WorkerId
-from marjoramwharf.isolation import run_isolated, run_restarted
+from marjoramwharf.isolation import run_restarted
 from marjoramwharf.links.prefix_watcher import PrefixWatcher
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import Fleet, Worker, WorkerState
@@ -56,13 +56,8 @@
 # events are collected for this long.
 _HEARTBEAT_COLLECTION_S = 0.25
 
-_MAINTENANCE_PERIOD_S = 0.5
-
 _MS_PER_S = 1_000
 
-# Covers the error of a former owner's estimate of a worker's clock.
-_FORMER_LEASE_MARGIN_S = 0.3
-
 _FINAL_STATES = {
     JobPhase.DONE: PublicJobState.DONE,
     JobPhase.FAILED: PublicJobState.FAILED,
@@ -84,7 +79,7 @@
     _progress_writer: ProgressWriter = field(init=False)
     _plan_loop: PlanLoop = field(init=False)
     _ticket_cache: TicketCache = field(init=False)
-    _run_mover: RunMover = field(init=False)
+    _maintenance: Maintenance = field(init=False)
     _inbox: Inbox = field(init=False)
     _model_saver: ModelSaver = field(init=False)
 
@@ -156,12 +151,22 @@
             on_planned=self._progress_writer.wake,
             preempt=lambda: preemptor.preempt(now_s=boot_s()),
         )
-        self._run_mover = RunMover(
+        self._maintenance = Maintenance(
+            ownership=ownership,
+            context=context,
+            job_table=self.job_table,
             worker_registry=self.worker_registry,
-            planner=planner,
-            queue_of=self._queue_of,
-            counters=context.counters,
-            on_planned=self._progress_writer.wake,
+            inbox=self._inbox,
+            run_mover=RunMover(
+                worker_registry=self.worker_registry,
+                planner=planner,
+                queue_of=self._queue_of,
+                counters=context.counters,
+                on_planned=self._progress_writer.wake,
+            ),
+            may_plan=self._may_plan,
+            end_run=self.end_run,
+            stop_surplus_runs=self._stop_surplus_runs,
         )
 
     async def run(self) -> None:
@@ -198,7 +203,7 @@
             nursery.start_soon(inbox.run)
             nursery.start_soon(workers.run)
             nursery.start_soon(self._plan_loop.run)
-            nursery.start_soon(self._run_maintenance)
+            nursery.start_soon(self._maintenance.run)
             nursery.start_soon(run_restarted, 'tickets', self._ticket_cache.run)
             nursery.start_soon(
                 run_restarted, 'model saver', self._model_saver.run
@@ -346,42 +351,3 @@
         configuration = self.context.configuration()
         queues = {} if configuration is None else configuration.queues
         return queue_of(run.task, queues)
-
-    async def _run_maintenance(self) -> None:
-        while True:
-            await trio.sleep(_MAINTENANCE_PERIOD_S)
-            await run_isolated('maintenance', self._maintain)
-
-    async def _maintain(self) -> None:
-        self._end_runs_of_unreached_workers()
-        if self._may_plan():
-            self._run_mover.move_all(now_s=boot_s())
-        for job in tuple(self.job_table.jobs.values()):
-            if job.occurrences:
-                self._stop_surplus_runs(job)
-        self.worker_registry.remove_gone_workers()
-        await remove_finished_jobs(
-            self.context.store,
-            self.ownership.cell,
-            self.ownership.guard,
-            self.job_table,
-            self._inbox,
-            retention_ms=self.context.bounds.status_ms,
-        )
-
-    def _end_runs_of_unreached_workers(self) -> None:
-        """End runs of a former owner at workers that never answered a poll.
-
-        A former owner that doesn't know of this one may have extended their
-        leases until its own right to do so ended. After the longest lease from
-        then on, by the slowest clock, they can't be at work.
-        """
-        lapsed_s = (
-            self.ownership.former_owner_until_s + self.context.longest_lease_s
-        )
-        if boot_s() < lapsed_s + _FORMER_LEASE_MARGIN_S:
-            return
-        for run in tuple(self.job_table.live_runs()):
-            is_unreached = self.worker_registry.was_never_polled(run.worker_id)
-            if is_unreached and run.phase is not RunPhase.PLANNED:
-                self.end_run(run, RunEnd.VANISHED, '')
--- /dev/null
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -0,0 +1,78 @@
+"""Periodic work of a cell's owner: moves, surplus runs and removals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from marjoramwharf.cells.cell_context import CellContext, CellOwnership
+from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.inbox import Inbox
+from marjoramwharf.cells.job_cleanup import remove_finished_jobs
+from marjoramwharf.cells.run_mover import RunMover
+from marjoramwharf.cells.worker_registry import WorkerRegistry
+from marjoramwharf.isolation import run_isolated
+from marjoramwharf.scheduling.job_state import Job, Run, RunEnd, RunPhase
+from marjoramwharf.scheduling.job_table import JobTable
+
+_PERIOD_S = 0.5
+
+# Covers the error of a former owner's estimate of a worker's clock.
+_FORMER_LEASE_MARGIN_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Maintenance:
+    """Checks a cell twice a second for what no message tells."""
+
+    ownership: CellOwnership
+    context: CellContext
+    job_table: JobTable
+    worker_registry: WorkerRegistry
+    inbox: Inbox
+    run_mover: RunMover
+    may_plan: Callable[[], bool]
+    end_run: Callable[[Run, RunEnd, str], Job]
+    stop_surplus_runs: Callable[[Job], None]
+
+    async def run(self) -> None:
+        """Check the cell until cancelled."""
+        while True:
+            await trio.sleep(_PERIOD_S)
+            await run_isolated('maintenance', self._maintain)
+
+    async def _maintain(self) -> None:
+        self._end_runs_of_unreached_workers()
+        if self.may_plan():
+            self.run_mover.move_all(now_s=boot_s())
+        for job in tuple(self.job_table.jobs.values()):
+            if job.occurrences:
+                self.stop_surplus_runs(job)
+        self.worker_registry.remove_gone_workers()
+        await remove_finished_jobs(
+            self.context.store,
+            self.ownership.cell,
+            self.ownership.guard,
+            self.job_table,
+            self.inbox,
+            retention_ms=self.context.bounds.status_ms,
+        )
+
+    def _end_runs_of_unreached_workers(self) -> None:
+        """End runs of a former owner at workers that never answered a poll.
+
+        A former owner that doesn't know of this one may have extended their
+        leases until its own right to do so ended. After the longest lease from
+        then on, by the slowest clock, they can't be at work.
+        """
+        lapsed_s = (
+            self.ownership.former_owner_until_s + self.context.longest_lease_s
+        )
+        if boot_s() < lapsed_s + _FORMER_LEASE_MARGIN_S:
+            return
+        for run in tuple(self.job_table.live_runs()):
+            is_unreached = self.worker_registry.was_never_polled(run.worker_id)
+            if is_unreached and run.phase is not RunPhase.PLANNED:
+                self.end_run(run, RunEnd.VANISHED, '')
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -18,6 +18,7 @@
     EndAcknowledgements,
     _UnacknowledgedEnd,
 )
+from marjoramwharf.cells.maintenance import Maintenance
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.report_processor import ReportProcessor
@@ -180,7 +181,7 @@
         WorkerClock, 'has_lapsed', _always
     ),
     'a new owner waits for workers that it never reached': lambda: patch(
-        f'{Cell.__module__}._FORMER_LEASE_MARGIN_S', -_LONG_S
+        f'{Maintenance.__module__}._FORMER_LEASE_MARGIN_S', -_LONG_S
     ),
     'progress is written only by the owner': lambda: patch.object(
         ProgressWriter, 'run', _write_unguarded
