Call workers through other entries where the owner has no path to them

Cause: the owner of a cell is judged by its lease at the store and by whether its process lives, and all polls and orders went over its own connections. An owner that lost the paths to its workers kept the cell, while other entries still reached them.

Change: an owner looks for a worker that it has lost through other entries, and sends all calls to it by the route that answered (cells/worker_routes.py decides, cells/routed_worker_client.py and worker_relay.py carry it out).

--- a/src/marjoramwharf/links/peer_server.py
+++ b/src/marjoramwharf/links/peer_server.py
@@ -41,8 +41,9 @@
 # for this long is dead.
 _IDLE_TIMEOUT_S = 30
 
-# Concurrent calls of one peer; further frames wait in the connection.
-_MAX_CONCURRENT_CALLS = 64
+# Concurrent calls of one peer; further frames wait in the connection. A peer
+# may poll all workers through this entry, one call for each.
+_MAX_CONCURRENT_CALLS = 512
 
 
 class PeerServer:
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -24,6 +24,7 @@
 from marjoramwharf.cells.owner_link import OwnerLink, answer_job_call
 from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
 from marjoramwharf.cells.records import OWNERS_PREFIX, CellId, EntryRecord
+from marjoramwharf.cells.worker_relay import WORKER_METHOD
 from marjoramwharf.errors import BadSettings
 from marjoramwharf.ids import Incarnation, random_id
 from marjoramwharf.isolation import run_restarted
@@ -55,13 +56,13 @@
     CONFIG_KEY,
     decode_configuration,
 )
-from marjoramwharf.platform.worker_client import PlatformWorkerClient
 from marjoramwharf.platform.worker_listings import (
     WORKERS_PREFIX,
     decode_listing,
 )
 from marjoramwharf.programs._cell_metrics import CellMetrics
 from marjoramwharf.programs._stop_signals import wait_for_stop
+from marjoramwharf.programs._worker_paths import WorkerPaths
 
 _LOG = part_logger('main')
 _CELL = CellId(0)
@@ -130,6 +131,7 @@
     store: RelayedStore = field(init=False)
     relay: StoreRelay = field(init=False)
     directory: EntryDirectory = field(init=False)
+    worker_paths: WorkerPaths = field(init=False)
     api_server: HttpServer = field(init=False)
     campaign: Campaign = field(init=False)
     owner_link: OwnerLink = field(init=False)
@@ -142,6 +144,7 @@
             host=settings.host,
             port=settings.peer_ports[0],
             secret=self.secret,
+            cpu_share=settings.cpu_share,
         )
         reachability = StoreReachability()
         self.relay = StoreRelay(
@@ -155,6 +158,9 @@
             reachability,
         )
         self.directory = EntryDirectory(self.store, record)
+        self.worker_paths = WorkerPaths(
+            self.client, self.identity, lambda: self.directory.peers
+        )
         self.owner_link = OwnerLink(
             view=self.view,
             cell=_CELL,
@@ -219,6 +225,8 @@
                 ('store relay', self.relay.run),
                 ('entry directory', self.directory.run),
                 ('owner link', self.owner_link.run),
+                ('worker relay', self.worker_paths.relay_peers.run),
+                ('idle connections', self.client.run_reaper),
             ):
                 nursery.start_soon(run_restarted, task, call)
             # Listen first: peers treat an owner that doesn't listen as ended.
@@ -250,7 +258,7 @@
             ),
             context=CellContext(
                 store=self.store,
-                worker_client=PlatformWorkerClient(self.client),
+                worker_client=self.worker_paths.begin_tenure(),
                 configuration=lambda: self.config.current,
                 workers_prefix=WORKERS_PREFIX,
                 decode_listing=decode_listing,
@@ -290,6 +298,8 @@
                 self.store.reachability,
                 call,
             )
+        if call.method == WORKER_METHOD:
+            return await self.worker_paths.answer(call)
         return await answer_job_call(self.owned_cell, sender, call)
 
     def _direct_store(self, client: HttpClient, timeout_s: float) -> KvStore:
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+)
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from functools import partial
@@ -15,10 +20,9 @@
 from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.clocks import boot_s, replaced_clocks
-from marjoramwharf.cells.evacuations import Evacuations
 from marjoramwharf.cells.instance_settings import Bounds
 from marjoramwharf.cells.job_status import PublicJobState
-from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
+from marjoramwharf.cells.ownership import Campaign, Tenure
 from marjoramwharf.cells.records import (
     OWNERS_PREFIX,
     CellId,
@@ -33,20 +37,18 @@
 from marjoramwharf.links.store import Guard, Write
 from marjoramwharf.platform.evacuation_requests import (
     EVACUATIONS_PREFIX,
-    evacuated_data_centre,
 )
 from marjoramwharf.scheduling.fleet import Resources, WorkerListing, WorkerState
 from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 from standins.frozen_process import (
     FreezableStore,
-    FreezableWorkerClient,
-    FreezeGate,
 )
-from standins.partitioned_worker_client import PartitionedWorkerClient
 from standins.polling_store import PollingMemoryStore
 from standins.simulated_worker import SimulatedWorker
 from standins.simulated_worker_client import MemoryWorkerClient
+from tests.cells.candidate import Candidate
+from tests.cells.entry_clients import routed_client_of
 from tests.plain_logs import use_plain_tracebacks
 
 use_plain_tracebacks()
@@ -93,27 +95,6 @@
     return StepRequest(count, **fields)  # type: ignore[arg-type]
 
 
-@dataclass
-class Candidate:
-    """A process that competes for the cell.
-
-    Cancelling ``scope`` kills it; ``gate`` lets it stand still for a while.
-    ``tenures_count`` tells how often it became the owner. It has no path to the
-    ``unreachable`` workers, while other entries may have one.
-    """
-
-    view: OwnerView = field(default_factory=OwnerView)
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
-    cell: Cell | None = None
-    campaign: Campaign | None = None
-    gate: FreezeGate = field(default_factory=FreezeGate)
-    evacuations: Evacuations = field(
-        default_factory=partial(Evacuations, evacuated_data_centre)
-    )
-    tenures_count: int = 0
-    unreachable: set[WorkerId] = field(default_factory=set)
-
-
 @dataclass
 class Cluster:
     """Store, workers and the entries that compete for the cell.
@@ -121,6 +102,7 @@
     ``former_workers`` are earlier incarnations of restarted workers.
     """
 
+    nursery: trio.Nursery
     store: PollingMemoryStore = field(default_factory=PollingMemoryStore)
     workers: dict[WorkerId, SimulatedWorker] = field(default_factory=dict)
     listings: dict[WorkerId, WorkerListing] = field(default_factory=dict)
@@ -335,7 +317,12 @@
             ),
             context=CellContext(
                 store=FreezableStore(self.store, candidate.gate),
-                worker_client=self._worker_client_of(candidate),
+                worker_client=routed_client_of(
+                    candidate,
+                    self.candidates,
+                    self.worker_client,
+                    self.nursery,
+                ),
                 configuration=lambda: self.configuration,
                 workers_prefix='servers/',
                 decode_listing=self._decode_listing,
@@ -349,13 +336,6 @@
         finally:
             candidate.cell = None
 
-    def _worker_client_of(self, candidate: Candidate) -> FreezableWorkerClient:
-        """Return a client that reaches what this entry has a path to."""
-        return FreezableWorkerClient(
-            PartitionedWorkerClient(self.worker_client, candidate.unreachable),
-            candidate.gate,
-        )
-
     def _decode_listing(self, key: str, _body: bytes) -> WorkerListing:
         try:
             return self.listings[WorkerId(key.removeprefix('servers/'))]
@@ -368,8 +348,8 @@
     workers: Iterable[str] = ('w1', 'w2', 'w3'),
 ) -> AsyncIterator[tuple[Cluster, trio.Nursery]]:
     """Yield a cluster with workers; its tasks end with the ``with`` block."""
-    cluster = Cluster()
     async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery)
         for name in workers:
             await cluster.add_worker(name)
         yield cluster, nursery
--- /dev/null
+++ b/tests/cells/entry_clients.py
@@ -0,0 +1,43 @@
+"""The clients with which the entries of a cluster call workers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+import trio
+
+from marjoramwharf.cells.routed_worker_client import RoutedWorkerClient
+from marjoramwharf.cells.worker_messages import WorkerClient
+from marjoramwharf.ids import EntryId
+from standins.frozen_process import FreezableWorkerClient
+from standins.partitioned_worker_client import PartitionedWorkerClient
+from standins.relaying_entries import RelayingEntries
+from tests.cells.candidate import Candidate
+
+
+def routed_client_of(
+    candidate: Candidate,
+    candidates: Sequence[Candidate],
+    shared_client: WorkerClient,
+    nursery: trio.Nursery,
+) -> RoutedWorkerClient:
+    """Return the client of an owner, which may call through other entries."""
+
+    def clients() -> Iterator[tuple[EntryId, WorkerClient]]:
+        for number, other in enumerate(candidates):
+            if other is not candidate and not other.scope.cancel_called:
+                yield EntryId(f'e{number}'), _direct(other, shared_client)
+
+    return RoutedWorkerClient(
+        _direct(candidate, shared_client), RelayingEntries(clients, nursery)
+    )
+
+
+def _direct(
+    candidate: Candidate, shared_client: WorkerClient
+) -> FreezableWorkerClient:
+    """Return a client that reaches only what an entry has a path to."""
+    return FreezableWorkerClient(
+        PartitionedWorkerClient(shared_client, candidate.unreachable),
+        candidate.gate,
+    )
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -33,6 +33,7 @@
     WorkerAddress,
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
+from marjoramwharf.cells.worker_routes import DIRECT, Route, WorkerRoutes
 from marjoramwharf.links.store import Guard
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
@@ -129,6 +130,10 @@
     return False
 
 
+def _direct_only(*_args: object, **_named: object) -> tuple[Route]:
+    return (DIRECT,)
+
+
 async def _never_connected(_self: WorkerOrders) -> bool:
     return False
 
@@ -201,6 +206,9 @@
     'evacuated workers are known to the planner and to orders': lambda: (
         patch.object(Fleet, 'is_evacuated', _never)
     ),
+    'a lost worker is looked for through other entries': lambda: patch.object(
+        WorkerRoutes, 'routes_to_probe', _direct_only
+    ),
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
--- /dev/null
+++ b/tests/cells/test_calls_through_entries.py
@@ -0,0 +1,120 @@
+"""Orders and polls that an owner sends to workers through other entries."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from marjoramwharf.ids import WorkerId
+from tests.cells.candidate import Candidate
+from tests.cells.cluster import (
+    Cluster,
+    job_request,
+    open_cluster,
+    run_with_clock,
+    step,
+)
+
+_POLLED_S = 2
+_DONE_LIMIT_S = 15
+_FREEZE_S = 4
+
+
+class CallsThroughEntriesTests(unittest.TestCase):
+    """Guards against what an entry in between could do wrong."""
+
+    def test_entry_wakes_with_orders(self) -> None:
+        """Guards against a second run by an order that was held up."""
+        run_with_clock(self._entry_wakes_with_orders)
+
+    def test_entry_is_killed(self) -> None:
+        """Guards against tasks that end with the entry in between."""
+        run_with_clock(self._entry_is_killed)
+
+    def test_worker_restarts(self) -> None:
+        """Guards against orders of a former incarnation behind an entry."""
+        run_with_clock(self._worker_restarts)
+
+    def test_owner_changes(self) -> None:
+        """Guards against two owners that call through the same entry."""
+        run_with_clock(self._owner_changes)
+
+    async def _entry_wakes_with_orders(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner, between, _ = await _spawn_three(cluster, nursery)
+            between.unreachable.add(WorkerId('w1'))
+            _cut_off(owner, cluster)
+            await trio.sleep(_POLLED_S)
+            between.gate.freeze(_FREEZE_S)
+            request = job_request('aa', step(8), payload='ms=6000')
+            await cluster.submit(request)
+            await cluster.wait_until_done(request, limit_s=30)
+            await _check_single_runs(cluster, _FREEZE_S)
+
+    async def _entry_is_killed(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner, between, _ = await _spawn_three(cluster, nursery)
+            lasting = step(6, is_lasting=True)
+            await cluster.submit(job_request('aa', lasting, payload='serve'))
+            await cluster.wait_until(lambda: cluster.starts().total() == 6)
+            _cut_off(owner, cluster)
+            await trio.sleep(_POLLED_S)
+            between.scope.cancel()
+            await _check_single_runs(cluster, 20)
+            self.assertEqual({1}, set(cluster.starts().values()))
+            running = [worker.running for worker in cluster.workers.values()]
+            self.assertEqual(6, sum(map(len, running)))
+
+    async def _worker_restarts(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = (await _spawn_three(cluster, nursery))[0]
+            _cut_off(owner, cluster)
+            await trio.sleep(_POLLED_S)
+            request = job_request('aa', step(8), payload='ms=3000')
+            await cluster.submit(request)
+            await cluster.wait_until(lambda: cluster.starts().total() == 8)
+            cluster.restart_worker('w1', is_dark=True)
+            await cluster.wait_until_done(request, limit_s=_DONE_LIMIT_S)
+            await _check_single_runs(cluster, 1)
+
+    async def _owner_changes(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner, between, other = await _spawn_three(cluster, nursery)
+            _cut_off(owner, cluster)
+            _cut_off(other, cluster)
+            request = job_request('aa', step(8), payload='ms=4000')
+            await cluster.submit(request)
+            await cluster.wait_until(lambda: cluster.starts().total() == 8)
+            owner.gate.freeze(_FREEZE_S)
+            await cluster.wait_until_done(request, limit_s=30)
+            await _check_single_runs(cluster, 1)
+            self.assertEqual(8, cluster.starts().total())
+            self.assertEqual(1, other.tenures_count + between.tenures_count)
+
+
+async def _spawn_three(
+    cluster: Cluster, nursery: trio.Nursery
+) -> tuple[Candidate, Candidate, Candidate]:
+    """Return an owner that has polled all workers, and two other entries."""
+    owner = cluster.spawn(nursery, 'e1')
+    await cluster.wait_until(lambda: owner.cell is not None)
+    others = cluster.spawn(nursery, 'e2'), cluster.spawn(nursery, 'e3')
+    await trio.sleep(_POLLED_S)
+    return owner, *others
+
+
+def _cut_off(entry: Candidate, cluster: Cluster) -> None:
+    """Cut the paths between an entry and all workers."""
+    entry.unreachable.update(cluster.workers)
+
+
+async def _check_single_runs(cluster: Cluster, duration_s: float) -> None:
+    end_s = trio.current_time() + duration_s
+    while trio.current_time() < end_s:
+        await trio.sleep(0.02)
+        cluster.check_single_runs()
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/cells/test_connection_use.py
+++ b/tests/cells/test_connection_use.py
@@ -16,9 +16,9 @@
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.scheduling.job_table import JobTable
 from standins.simulated_worker_client import MemoryWorkerClient
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
     HOLD_MS,
-    Candidate,
     job_request,
     open_cluster,
     run_with_clock,
--- a/tests/cells/test_histories.py
+++ b/tests/cells/test_histories.py
@@ -123,6 +123,26 @@
     cluster.worker_client.hold_answer_delays_s += repeat(_REPORT_DELAY_S, pick)
 
 
+def _cut_path(cluster: Cluster, pick: int) -> None:
+    """Cut the paths between an entry and all workers but one."""
+    candidate = cluster.candidates[pick % len(cluster.candidates)]
+    spared = _WORKERS[pick % len(_WORKERS)]
+    candidate.unreachable.update(map(WorkerId, _WORKERS))
+    candidate.unreachable.discard(WorkerId(spared))
+
+
+def _open_paths(cluster: Cluster, _pick: int) -> None:
+    for candidate in cluster.candidates:
+        candidate.unreachable.clear()
+
+
+def _freeze_other(cluster: Cluster, pick: int) -> None:
+    """Let each entry that is no owner stand still, with the calls it makes."""
+    for candidate in cluster.candidates:
+        if candidate.cell is None:
+            candidate.gate.freeze(pick * _FREEZE_S)
+
+
 _Fault = Callable[[Cluster, int], None]
 _FAULTS: tuple[_Fault, ...] = (
     _kill_owner,
@@ -159,6 +179,15 @@
 # Standing still and late reports are as frequent as all other faults together.
 _LATE_FAULTS = _FAULTS + (_freeze_owner, _delay_reports) * (len(_FAULTS) // 2)
 
+# Cut paths, and entries that stand still while they call workers for the owner,
+# are as frequent as all other faults together.
+_PATH_FAULTS = _FAULTS + (
+    _cut_path,
+    _cut_path,
+    _open_paths,
+    _freeze_other,
+) * (len(_FAULTS) // 4)
+
 # The false report that an owner has ended is as frequent as all other faults
 # together.
 _RIVAL_FAULTS = _FAULTS + (_report_owner_ended,) * len(_FAULTS)
@@ -192,6 +221,12 @@
         """Guards against acting on old news, or by a right that has ended."""
         run_with_clock(partial(self._play, history, entries_count=2))
 
+    @_REPEATABLE
+    @given(_histories(_PATH_FAULTS))
+    def test_cut_paths(self, history: list[tuple[_Fault, int, float]]) -> None:
+        """Guards against work doubled by calls through other entries."""
+        run_with_clock(partial(self._play, history, entries_count=3))
+
     async def _play(
         self,
         history: list[tuple[_Fault, int, float]],
@@ -218,6 +253,7 @@
             for fault in (
                 _start_store,
                 _reconnect_workers,
+                _open_paths,
                 _apply_late_commits,
             ):
                 fault(cluster, 0)
--- a/tests/cells/test_intake.py
+++ b/tests/cells/test_intake.py
@@ -81,12 +81,11 @@
         DataCentreId('ruse'),
     )
     link = OwnerLink(OwnerView(), CellId(0), identity, 0.3)
-    cluster = Cluster()
     intake = Intake(store, CELL, link, lambda: None)
     await trio.lowlevel.checkpoint()
     yield _Entry(
         store,
-        JobApi(intake, lambda: cluster.configuration if configured else None),
+        JobApi(intake, lambda: Cluster.configuration if configured else None),
         intake,
     )
 
--- a/tests/cells/test_late_answers.py
+++ b/tests/cells/test_late_answers.py
@@ -20,9 +20,9 @@
 from marjoramwharf.links.store import Committed, Conflict, Guard, Write
 from marjoramwharf.scheduling.fleet import WorkerState
 from standins.simulated_worker import SimulatedWorker
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
     CELL,
-    Candidate,
     Cluster,
     job_request,
     open_cluster,
--- a/tests/cells/test_link_log.py
+++ b/tests/cells/test_link_log.py
@@ -16,9 +16,9 @@
 from marjoramwharf.cells.worker_messages import OrderAnswer
 from marjoramwharf.ids import WorkerId
 from standins.simulated_worker import SimulatedWorker
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
     HOLD_MS,
-    Candidate,
     Cluster,
     job_request,
     open_cluster,
--- a/tests/cells/test_outdated_owner.py
+++ b/tests/cells/test_outdated_owner.py
@@ -17,9 +17,9 @@
 from marjoramwharf.links.peer_messages import PeerIdentity
 from marjoramwharf.links.thrift_types.peer import ttypes
 from marjoramwharf.scheduling.workload import JobRequest
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
     CELL,
-    Candidate,
     Cluster,
     job_request,
     open_cluster,
--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -20,9 +20,9 @@
 )
 from marjoramwharf.ids import WorkerId
 from standins.simulated_worker import SimulatedWorker
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
     CELL,
-    Candidate,
     Cluster,
     job_request,
     open_cluster,
--- a/tests/cells/test_unreachable_from_owner.py
+++ b/tests/cells/test_unreachable_from_owner.py
@@ -8,8 +8,8 @@
 import trio
 
 from marjoramwharf.ids import TaskId, WorkerId
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
-    Candidate,
     Cluster,
     job_request,
     open_cluster,
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -17,6 +17,7 @@
 from contextlib import redirect_stdout
 
 from tests.cells import (
+    test_calls_through_entries,
     test_cell,
     test_connection_use,
     test_evacuations,
@@ -24,6 +25,7 @@
     test_late_answers,
     test_malformed_records,
     test_restarted_workers,
+    test_unreachable_from_owner,
 )
 from tests.cells.mutants import MUTANTS
 
@@ -35,6 +37,8 @@
     test_restarted_workers,
     test_connection_use,
     test_evacuations,
+    test_unreachable_from_owner,
+    test_calls_through_entries,
     test_histories,
 )
 
