Give the cell up where its owner reaches neither workers nor entries

What calls through other entries can't serve: an owner that reaches no entry either, only the store. It would keep the cell for as long as its lease is renewed, and accepted work would wait.

One that reaches workers, or any entry, goes on.

test_owner_reaches_nobody fails without it (the job is not done in 15 s); three mutants are caught: no giving way, giving way although workers are reached, and no growing pause.

--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -19,6 +19,11 @@
 
 _MS_PER_S = 1_000
 
+
+def _never() -> bool:
+    return False
+
+
 ConfigurationSource = Callable[[], Configuration | None]
 
 
@@ -29,7 +34,8 @@
     ``decode_listing`` decodes a key and value below ``workers_prefix`` and
     raises ``BadListing`` if they name no worker. ``hold_ms`` is the length of
     the leases of runs. No run starts in the ``evacuated`` data centres, a view
-    that follows the operators' requests.
+    that follows the operators' requests. ``is_isolated`` tells whether this
+    entry has tried to reach other entries and reaches none.
     """
 
     store: PollingStore
@@ -42,6 +48,7 @@
     counters: CellCounters = field(default_factory=CellCounters)
     advice_client: AdviceClient | None = None
     evacuated: AbstractSet[DataCentreId] = frozenset()
+    is_isolated: Callable[[], bool] = _never
 
     @property
     def longest_lease_s(self) -> float:
@@ -58,7 +65,7 @@
     still be started, and ``may_extend_leases`` whether the leases of runs may
     still be extended. A former owner that hasn't noticed this one may extend
     them until ``former_owner_until_s`` of the boot clock. ``give_up`` ends the
-    ownership.
+    ownership, and ``give_way`` also lets other entries campaign first.
     """
 
     cell: CellId
@@ -67,3 +74,4 @@
     may_extend_leases: Callable[[], bool]
     former_owner_until_s: float
     give_up: Callable[[], None]
+    give_way: Callable[[], None]
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -11,6 +11,7 @@
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.job_cleanup import remove_finished_jobs
+from marjoramwharf.cells.owner_reach import OwnerReach
 from marjoramwharf.cells.run_mover import RunMover
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.isolation import run_isolated
@@ -36,6 +37,7 @@
     may_plan: Callable[[], bool]
     end_run: Callable[[Run, RunEnd, str], Job]
     stop_surplus_runs: Callable[[Job], None]
+    _reach: OwnerReach = field(default_factory=OwnerReach)
 
     async def run(self) -> None:
         """Check the cell until cancelled."""
@@ -44,6 +46,12 @@
             await run_isolated('maintenance', self._maintain)
 
     async def _maintain(self) -> None:
+        if self._reach.must_give_way(
+            self.worker_registry.fleet,
+            is_isolated=self.context.is_isolated(),
+            now_s=boot_s(),
+        ):
+            self.ownership.give_way()
         self._end_runs_of_unreached_workers()
         if self.may_plan():
             self.run_mover.move_all(now_s=boot_s())
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -53,6 +53,12 @@
 _SLOW_INSTANCE_DELAY_S = 0.3
 _RETRY_PAUSE_S = 0.2
 _RENEWALS_PER_TTL = 4
+
+# An entry that gave way campaigns again after this time, doubled each time it
+# gives way once more within ``_GAVE_WAY_LATELY_S``.
+_GIVE_WAY_PAUSE_S = 3.0
+_MAX_GIVE_WAY_PAUSE_S = 30.0
+_GAVE_WAY_LATELY_S = 60.0
 _RENEWAL_RETRY_PAUSE_S = 0.1
 
 
@@ -166,12 +172,14 @@
     run_cell: RunCell
     tenure: Tenure | None = None
     has_resigned: bool = False
+    _gives_way_until_s: float = 0
+    _give_way_pause_s: float = _GIVE_WAY_PAUSE_S
 
     async def run(self) -> None:
         """Campaign and run the cell during each tenure, until cancelled."""
         while True:
             await self._wait_until_replaceable()
-            await trio.sleep(self._campaign_delay_s())
+            await trio.sleep(self._campaign_delay_s(now_s=boot_s()))
             replaced_revision = self._replaceable_revision()
             if replaced_revision is None or self.has_resigned:
                 continue
@@ -198,6 +206,17 @@
         except Failure as failure:
             _LOG.info('owner lease not revoked', error=str(failure))
 
+    def give_way(self, *, now_s: float) -> None:
+        """End the current tenure, and let other entries campaign first."""
+        pause_s = _GIVE_WAY_PAUSE_S
+        if now_s - self._gives_way_until_s < _GAVE_WAY_LATELY_S:
+            pause_s = min(2 * self._give_way_pause_s, _MAX_GIVE_WAY_PAUSE_S)
+        self._give_way_pause_s = pause_s
+        self._gives_way_until_s = now_s + pause_s
+        _LOG.warning('giving way', cell=self.cell, pause_s=pause_s)
+        if self.tenure is not None:
+            self.tenure.scope.cancel()
+
     async def _wait_until_replaceable(self) -> None:
         while self.has_resigned or not self.view.is_loaded:
             await trio.sleep(_RENEWAL_RETRY_PAUSE_S)
@@ -219,10 +238,12 @@
             return owner.revision
         return None
 
-    def _campaign_delay_s(self) -> float:
+    def _campaign_delay_s(self, *, now_s: float) -> float:
+        """Return how long to leave the cell to other entries."""
         jitter_s = random.uniform(0, _CAMPAIGN_JITTER_S)
         slowness = max(0, 1 - self.cpu_share)
-        return jitter_s + _SLOW_INSTANCE_DELAY_S * slowness
+        giving_way_s = max(0, self._gives_way_until_s - now_s)
+        return jitter_s + _SLOW_INSTANCE_DELAY_S * slowness + giving_way_s
 
     async def _acquire(self, replaced_revision: int) -> Tenure | None:
         """Write the owner record; returns ``None`` unless it is written."""
--- a/src/marjoramwharf/links/relay_peers.py
+++ b/src/marjoramwharf/links/relay_peers.py
@@ -20,6 +20,9 @@
 _CONNECT_TIMEOUT_S = 0.7
 _CHECK_INTERVAL_S = 0.1
 
+# Without any connection for this long, no peer counts as reachable.
+_ISOLATED_AFTER_S = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
@@ -71,6 +74,8 @@
         default_factory=dict
     )
     _last_wanted_s: float = 0
+    # Since when peers are wanted and none is connected, if that is so.
+    _missed_since_s: float | None = None
 
     def connected(self) -> dict[PeerAddress, PeerClient]:
         """Return the connected peers, the one opened first at the start."""
@@ -80,12 +85,18 @@
             if connection.client.peer is not None
         }
 
+    def is_isolated(self, *, now_s: float) -> bool:
+        """Whether peers are known and wanted, but none could be reached."""
+        since_s = self._missed_since_s
+        return since_s is not None and now_s - since_s > _ISOLATED_AFTER_S
+
     async def run(self) -> None:
         """Connect to peers whenever they are wanted; never returns."""
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(_CHECK_INTERVAL_S)
                 now_s = trio.current_time()
+                self._note_whether_missed(now_s)
                 if self.is_wanted():
                     self._last_wanted_s = now_s
                     self._replace_useless(nursery, now_s)
@@ -95,6 +106,13 @@
                 ):
                     self._close(tuple(self._connections))
 
+    def _note_whether_missed(self, now_s: float) -> None:
+        is_missed = self._others() and not self.connected() and self.is_wanted()
+        if not is_missed:
+            self._missed_since_s = None
+        elif self._missed_since_s is None:
+            self._missed_since_s = now_s
+
     def _replace_useless(self, nursery: trio.Nursery, now_s: float) -> None:
         """Close useless connections, and open others up to the size.
 
@@ -122,14 +140,17 @@
         """Return the admitted peers without a connection, in random order."""
         candidates = [
             peer
-            for peer in self.peers()
-            if peer not in self._connections
-            and peer.entry_id != self.identity.entry_id
-            and self.is_admitted(peer)
+            for peer in self._others()
+            if peer not in self._connections and self.is_admitted(peer)
         ]
         self.rng.shuffle(candidates)
         return candidates
 
+    def _others(self) -> list[PeerAddress]:
+        """Return the known peers without this entry itself."""
+        own_id = self.identity.entry_id
+        return [peer for peer in self.peers() if peer.entry_id != own_id]
+
     def _close(self, peers: Sequence[PeerAddress]) -> None:
         for peer in peers:
             self._connections.pop(peer).scope.cancel()
--- a/src/marjoramwharf/programs/_worker_paths.py
+++ b/src/marjoramwharf/programs/_worker_paths.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+import trio
+
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.routed_worker_client import RoutedWorkerClient
 from marjoramwharf.cells.worker_messages import WorkerClient
@@ -53,6 +55,10 @@
             self._direct, PeerWorkerRelay(self.relay_peers), self.routes
         )
 
+    def is_isolated(self) -> bool:
+        """Whether this entry reaches no other one, though it has tried."""
+        return self.relay_peers.is_isolated(now_s=trio.current_time())
+
     async def answer(self, call: Message) -> Message:
         """Make a call to a worker for another entry; raises ``BadFrame``."""
         return await answer_worker_call(self._direct, call)
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -255,6 +255,7 @@
                 ),
                 former_owner_until_s=self._former_owner_until_s(tenure),
                 give_up=tenure.scope.cancel,
+                give_way=lambda: self.campaign.give_way(now_s=boot_s()),
             ),
             context=CellContext(
                 store=self.store,
@@ -269,6 +270,7 @@
                 counters=self.counters,
                 advice_client=self._build_advice_client(),
                 evacuated=self.evacuations.data_centres,
+                is_isolated=self.worker_paths.is_isolated,
             ),
         )
         self.cell = cell
--- a/tests/cells/candidate.py
+++ b/tests/cells/candidate.py
@@ -8,6 +8,7 @@
 import trio
 
 from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.evacuations import Evacuations
 from marjoramwharf.cells.ownership import Campaign, OwnerView
 from marjoramwharf.ids import WorkerId
@@ -21,7 +22,8 @@
 
     Cancelling ``scope`` kills it; ``gate`` lets it stand still for a while.
     ``tenures_count`` tells how often it became the owner. It has no path to the
-    ``unreachable`` workers, while other entries may have one.
+    ``unreachable`` workers, while other entries may have one, and none to the
+    other entries while it ``is_isolated``.
     """
 
     view: OwnerView = field(default_factory=OwnerView)
@@ -34,3 +36,9 @@
     )
     tenures_count: int = 0
     unreachable: set[WorkerId] = field(default_factory=set)
+    is_isolated: bool = False
+
+    def give_way(self) -> None:
+        """Let other entries campaign before this one does again."""
+        if self.campaign is not None:
+            self.campaign.give_way(now_s=boot_s())
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -314,6 +314,7 @@
                 + TTL_MS / 1_000
                 + HOLD_AFTER_EXPIRY_S,
                 give_up=tenure.scope.cancel,
+                give_way=candidate.give_way,
             ),
             context=CellContext(
                 store=FreezableStore(self.store, candidate.gate),
@@ -329,6 +330,7 @@
                 bounds=Bounds(),
                 hold_ms=HOLD_MS,
                 evacuated=candidate.evacuations.data_centres,
+                is_isolated=lambda: candidate.is_isolated,
             ),
         )
         try:
--- a/tests/cells/entry_clients.py
+++ b/tests/cells/entry_clients.py
@@ -24,6 +24,8 @@
     """Return the client of an owner, which may call through other entries."""
 
     def clients() -> Iterator[tuple[EntryId, WorkerClient]]:
+        if candidate.is_isolated:
+            return
         for number, other in enumerate(candidates):
             if other is not candidate and not other.scope.cancel_called:
                 yield EntryId(f'e{number}'), _direct(other, shared_client)
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -19,6 +19,8 @@
     _UnacknowledgedEnd,
 )
 from marjoramwharf.cells.maintenance import Maintenance
+from marjoramwharf.cells.owner_reach import OwnerReach
+from marjoramwharf.cells.ownership import Campaign
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.report_processor import ReportProcessor
@@ -209,6 +211,15 @@
     'a lost worker is looked for through other entries': lambda: patch.object(
         WorkerRoutes, 'routes_to_probe', _direct_only
     ),
+    'an owner that reaches nobody gives way': lambda: patch.object(
+        OwnerReach, 'must_give_way', _never
+    ),
+    'an owner that reaches some gives no way': lambda: patch(
+        f'{OwnerReach.__module__}._reaches_enough', _never
+    ),
+    'owners that reach nobody give way later each time': lambda: patch(
+        f'{Campaign.__module__}._MAX_GIVE_WAY_PAUSE_S', 0
+    ),
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
--- a/tests/cells/test_calls_through_entries.py
+++ b/tests/cells/test_calls_through_entries.py
@@ -40,6 +40,18 @@
         """Guards against two owners that call through the same entry."""
         run_with_clock(self._owner_changes)
 
+    def test_owner_reaches_nobody(self) -> None:
+        """Guards against an owner that keeps a cell without any path."""
+        run_with_clock(self._owner_reaches_nobody)
+
+    def test_owner_reaches_workers_but_no_entry(self) -> None:
+        """Guards against a sound owner that gives its cell up."""
+        run_with_clock(self._owner_reaches_no_entry)
+
+    def test_nobody_reaches_workers(self) -> None:
+        """Guards against owners that give a cell to each other in turn."""
+        run_with_clock(self._nobody_reaches_workers)
+
     async def _entry_wakes_with_orders(self) -> None:
         async with open_cluster() as (cluster, nursery):
             owner, between, _ = await _spawn_three(cluster, nursery)
@@ -92,6 +104,35 @@
             self.assertEqual(8, cluster.starts().total())
             self.assertEqual(1, other.tenures_count + between.tenures_count)
 
+    async def _owner_reaches_nobody(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner, *others = await _spawn_three(cluster, nursery)
+            _cut_off(owner, cluster)
+            owner.is_isolated = True
+            request = job_request('aa', step(8))
+            await cluster.submit(request)
+            await cluster.wait_until_done(request, limit_s=_DONE_LIMIT_S)
+            self.assertEqual(1, sum(entry.tenures_count for entry in others))
+
+    async def _owner_reaches_no_entry(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = (await _spawn_three(cluster, nursery))[0]
+            owner.is_isolated = True
+            owner.unreachable.add(WorkerId('w1'))
+            await trio.sleep(20)
+            self.assertIsNotNone(owner.cell)
+            self.assertEqual(1, owner.tenures_count)
+
+    async def _nobody_reaches_workers(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            entries = await _spawn_three(cluster, nursery)
+            for entry in entries:
+                _cut_off(entry, cluster)
+                entry.is_isolated = True
+            await trio.sleep(60)
+            tenures_count = sum(entry.tenures_count for entry in entries)
+            self.assertLessEqual(tenures_count, 12)
+
 
 async def _spawn_three(
     cluster: Cluster, nursery: trio.Nursery
