--- a/src/marjoramwharf/links/store_relay.py
+++ b/src/marjoramwharf/links/store_relay.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from functools import partial
 
 import trio
 
@@ -20,10 +18,11 @@
 )
 from marjoramwharf.links.peer_client import PeerClient
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
-from marjoramwharf.links.peer_usefulness import (
-    PeerUsefulness,
-    find_replaceable,
-    rank_peers,
+from marjoramwharf.links.peer_usefulness import PeerUsefulness, rank_peers
+from marjoramwharf.links.relay_peers import (
+    PeerAddress,
+    PeerSource,
+    RelayPeers,
 )
 from marjoramwharf.links.store import PollingStore
 from marjoramwharf.links.store_calls import (
@@ -40,69 +39,18 @@
     make_failure,
 )
 from marjoramwharf.links.store_reachability import StoreReachability
-from marjoramwharf.links.tcp import open_stream
 from marjoramwharf.links.thrift_types.peer import ttypes
-from marjoramwharf.logs import part_logger
-
-_LOG = part_logger('relay')
 
 STORE_METHOD = 'store'
 
 # Number of peers to connect to while the store is unreachable.
 _MAX_PEERS_COUNT = 2
 
-# Connections stay open this long after the store became reachable again. A
-# peer that is not connected within the connect timeout is replaced by another.
-_KEEP_OPEN_S = 5.0
-_CONNECT_TIMEOUT_S = 0.7
-_CHECK_INTERVAL_S = 0.1
-
 # Longer than a peer's own timeout for a call to the store.
 _CALL_TIMEOUT_S = 0.9
 _MS_PER_S = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class PeerAddress:
-    """Address of a peer's message port, with the secret that it requires."""
-
-    entry_id: str
-    host: str
-    port: int
-    secret: str
-
-
-PeerSource = Callable[[], Sequence[PeerAddress]]
-
-
-@dataclass(slots=True, eq=False)
-class _PeerConnection:
-    client: PeerClient
-    opened_s: float
-    usefulness: PeerUsefulness = field(default_factory=PeerUsefulness)
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
-
-    async def run(self) -> None:
-        with self.scope:
-            await self.client.run()
-
-    async def call(self, call: StoreCall) -> StoreReply:
-        """Let the peer execute a call, and record whether it could."""
-        try:
-            reply = await _send_call(self.client, call)
-        except StoreRefused:
-            self.usefulness.record_answer()
-            raise
-        except (StoreUnavailable, StoreAnswerLost):
-            self.usefulness.record_failure(now_s=trio.current_time())
-            raise
-        except Failure:
-            self.usefulness.record_answer()
-            raise
-        self.usefulness.record_answer()
-        return reply
-
-
 @dataclass(slots=True)
 class StoreRelay:
     """Keeps connections to a few peers while the store is unreachable.
@@ -115,35 +63,28 @@
     identity: PeerIdentity
     reachability: StoreReachability
     rng: random.Random = field(default_factory=random.Random)
-    _connections: dict[PeerAddress, _PeerConnection] = field(
-        default_factory=dict
-    )
-    _replaced_s: dict[PeerAddress, float] = field(default_factory=dict)
-    _last_unreachable_s: float = 0
+    _peers: RelayPeers = field(init=False)
+    _usefulness: dict[PeerAddress, PeerUsefulness] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Create the connections to peers."""
+        self._peers = RelayPeers(
+            self.peers,
+            self.identity,
+            lambda: self.reachability.is_unreachable,
+            size=_MAX_PEERS_COUNT,
+            is_admitted=self._is_useful,
+            rng=self.rng,
+        )
 
     @property
     def is_connected(self) -> bool:
         """Whether at least one peer is connected."""
-        return any(
-            connection.client.peer for connection in self._connections.values()
-        )
+        return bool(self._peers.connected())
 
     async def run(self) -> None:
         """Connect to peers whenever the store is unreachable; never returns."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                await trio.sleep(_CHECK_INTERVAL_S)
-                now_s = trio.current_time()
-                if self.reachability.is_unreachable:
-                    self._last_unreachable_s = now_s
-                    self._close_unconnected(now_s)
-                    self._replace_useless(now_s)
-                    self._connect(nursery, now_s)
-                elif (
-                    self._connections
-                    and now_s - self._last_unreachable_s > _KEEP_OPEN_S
-                ):
-                    self._close(tuple(self._connections))
+        await self._peers.run()
 
     async def call(self, call: StoreCall) -> StoreReply:
         """Let a connected peer execute a call.
@@ -153,94 +94,47 @@
         nothing was sent, else what the store's method raises.
         """
         unavailable: Failure = PeerUnreachable(message='no peer is connected')
-        for connection in self._ranked_connections():
+        clients = self._peers.connected()
+        for peer in rank_peers({peer: self._judge(peer) for peer in clients}):
             try:
-                return await connection.call(call)
+                return await self._call_peer(peer, clients[peer], call)
             except StoreRefused:
                 raise
             except StoreUnavailable as failure:
                 unavailable = failure
         raise unavailable
 
-    def _ranked_connections(self) -> list[_PeerConnection]:
-        connected = self._connected()
-        ranked = rank_peers(
-            {
-                peer: connection.usefulness
-                for peer, connection in connected.items()
-            }
-        )
-        return [connected[peer] for peer in ranked]
-
-    def _connected(self) -> dict[PeerAddress, _PeerConnection]:
-        return {
-            peer: connection
-            for peer, connection in self._connections.items()
-            if connection.client.peer is not None
-        }
-
-    def _connect(self, nursery: trio.Nursery, now_s: float) -> None:
-        candidates = self._candidates()
-        self.rng.shuffle(candidates)
-        candidates.sort(key=lambda peer: self._replaced_s.get(peer, 0))
-        for peer in candidates[: _MAX_PEERS_COUNT - len(self._connections)]:
-            connection = _PeerConnection(self._make_client(peer), now_s)
-            self._connections[peer] = connection
-            nursery.start_soon(connection.run)
-
-    def _candidates(self) -> list[PeerAddress]:
-        return [
-            peer
-            for peer in self.peers()
-            if peer not in self._connections
-            and peer.entry_id != self.identity.entry_id
-        ]
-
-    def _replace_useless(self, now_s: float) -> None:
-        """Close the most useless peer if another one can take its place.
-
-        The one that was replaced longest ago is then the first to return.
-        """
-        candidates = self._candidates()
-        useless = find_replaceable(
-            {
-                peer: connection.usefulness
-                for peer, connection in self._connected().items()
-            },
-            now_s=now_s,
-        )
-        if useless is None or not candidates:
-            return
-        self._close([useless])
-        listed = {useless, *candidates}
-        self._replaced_s = {
-            peer: replaced_s
-            for peer, replaced_s in self._replaced_s.items()
-            if peer in listed
-        }
-        self._replaced_s[useless] = now_s
-
-    def _close_unconnected(self, now_s: float) -> None:
-        self._close(
-            [
-                peer
-                for peer, connection in self._connections.items()
-                if connection.client.peer is None
-                and now_s - connection.opened_s > _CONNECT_TIMEOUT_S
-            ],
-        )
-
-    def _close(self, peers: Sequence[PeerAddress]) -> None:
-        for peer in peers:
-            self._connections.pop(peer).scope.cancel()
+    async def _call_peer(
+        self, peer: PeerAddress, client: PeerClient, call: StoreCall
+    ) -> StoreReply:
+        """Let a peer execute a call, and record whether it could."""
+        usefulness = self._judge(peer)
+        try:
+            reply = await _send_call(client, call)
+        except (StoreUnavailable, StoreAnswerLost) as failure:
+            if isinstance(failure, StoreRefused):
+                usefulness.record_answer()
+            else:
+                usefulness.record_failure(now_s=trio.current_time())
+            raise
+        except Failure:
+            usefulness.record_answer()
+            raise
+        usefulness.record_answer()
+        return reply
 
-    def _make_client(self, peer: PeerAddress) -> PeerClient:
-        return PeerClient(
-            partial(open_stream, peer.host, peer.port),
-            identity=self.identity,
-            secret=peer.secret,
-            rng=self.rng,
-        )
+    def _judge(self, peer: PeerAddress) -> PeerUsefulness:
+        """Return the record of a peer; forget those that are not known."""
+        usefulness = self._usefulness.get(peer)
+        if usefulness is None:
+            known = set(self.peers())
+            for former in self._usefulness.keys() - known:
+                self._usefulness.pop(former)
+            usefulness = self._usefulness.setdefault(peer, PeerUsefulness())
+        return usefulness
+
+    def _is_useful(self, peer: PeerAddress) -> bool:
+        return self._judge(peer).is_useful(now_s=trio.current_time())
 
 
 async def handle_store_call(
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -18,6 +18,9 @@
     EndAcknowledgements,
     _UnacknowledgedEnd,
 )
+from marjoramwharf.cells.maintenance import Maintenance
+from marjoramwharf.cells.owner_reach import OwnerReach
+from marjoramwharf.cells.ownership import Campaign
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.report_processor import ReportProcessor
@@ -32,6 +35,7 @@
     WorkerAddress,
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
+from marjoramwharf.cells.worker_routes import DIRECT, Route, WorkerRoutes
 from marjoramwharf.links.store import Guard
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
@@ -128,6 +132,10 @@
     return False
 
 
+def _direct_only(*_args: object, **_named: object) -> tuple[Route]:
+    return (DIRECT,)
+
+
 async def _never_connected(_self: WorkerOrders) -> bool:
     return False
 
@@ -180,7 +188,7 @@
         WorkerClock, 'has_lapsed', _always
     ),
     'a new owner waits for workers that it never reached': lambda: patch(
-        f'{Cell.__module__}._FORMER_LEASE_MARGIN_S', -_LONG_S
+        f'{Maintenance.__module__}._FORMER_LEASE_MARGIN_S', -_LONG_S
     ),
     'progress is written only by the owner': lambda: patch.object(
         ProgressWriter, 'run', _write_unguarded
@@ -200,6 +208,18 @@
     'evacuated workers are known to the planner and to orders': lambda: (
         patch.object(Fleet, 'is_evacuated', _never)
     ),
+    'a lost worker is looked for through other entries': lambda: patch.object(
+        WorkerRoutes, 'routes_to_probe', _direct_only
+    ),
+    'an owner that reaches nobody gives way': lambda: patch.object(
+        OwnerReach, 'must_give_way', _never
+    ),
+    'an owner that reaches some gives no way': lambda: patch(
+        f'{OwnerReach.__module__}._reaches_enough', _never
+    ),
+    'owners that reach nobody give way later each time': lambda: patch(
+        f'{Campaign.__module__}._MAX_GIVE_WAY_PAUSE_S', 0
+    ),
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
--- a/tests/cells/test_giving_way.py
+++ b/tests/cells/test_giving_way.py
@@ -13,8 +13,8 @@
 from marjoramwharf.errors import StoreUnavailable
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.store import Committed, Conflict, Guard, Write
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
-    Candidate,
     job_request,
     open_cluster,
     run_with_clock,
--- a/tests/cells/test_refused_connections.py
+++ b/tests/cells/test_refused_connections.py
@@ -6,9 +6,9 @@
 
 import trio
 
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
     CELL,
-    Candidate,
     Cluster,
     job_request,
     open_cluster,
--- a/tests/links/test_store_relay.py
+++ b/tests/links/test_store_relay.py
@@ -16,13 +16,10 @@
 from marjoramwharf.ids import DataCentreId, EntryId, Incarnation
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
 from marjoramwharf.links.peer_server import PeerServer
+from marjoramwharf.links.relay_peers import PeerAddress
 from marjoramwharf.links.relayed_store import RelayedStore
 from marjoramwharf.links.store_reachability import StoreReachability
-from marjoramwharf.links.store_relay import (
-    PeerAddress,
-    StoreRelay,
-    handle_store_call,
-)
+from marjoramwharf.links.store_relay import StoreRelay, handle_store_call
 from marjoramwharf.links.thrift_types.peer import ttypes
 from standins.polling_store import PollingMemoryStore
 
@@ -59,7 +56,7 @@
 
     def __post_init__(self) -> None:
         addresses = [
-            PeerAddress(f'e{port}', 'host', port, _SECRET)
+            PeerAddress(EntryId(f'e{port}'), 'host', port, _SECRET)
             for port in range(len(self.peers))
         ]
         own_store = PollingMemoryStore()
@@ -106,7 +103,7 @@
     async with trio.open_nursery() as nursery:
         setup = _Setup(nursery, peers)
         with patch(
-            'marjoramwharf.links.store_relay.open_stream', setup.connect
+            'marjoramwharf.links.relay_peers.open_stream', setup.connect
         ):
             yield setup
             nursery.cancel_scope.cancel()
