Scrape the metrics of a simulated cell without a thread

Two tests follow the harness: one asked a cluster for its configuration, one imported a moved class.

--- a/tests/platform/test_unanswered_writes.py
+++ b/tests/platform/test_unanswered_writes.py
@@ -93,7 +93,7 @@
 
 async def _ask(store: PollingMemoryStore, method: str, body: bytes) -> int:
     """Send a request to a front on this store, and return the status."""
-    front = JobApi(_intake(store), lambda: Cluster().configuration)
+    front = JobApi(_intake(store), lambda: Cluster.configuration)
     answer = await front.handle(
         HttpRequest(
             method=method,
--- a/tests/programs/test_cell_metrics.py
+++ b/tests/programs/test_cell_metrics.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Callable
+from typing import TypeVar
+from unittest.mock import patch
 
 import trio
 
@@ -10,13 +13,21 @@
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.links.http_server import HttpRequest
 from marjoramwharf.programs._cell_metrics import CellMetrics
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
-    Candidate,
     job_request,
     open_cluster,
     run_with_clock,
 )
 
+_Made = TypeVar('_Made')
+
+
+async def _run_inline(call: Callable[[], _Made]) -> _Made:
+    """Run a call without a thread, during which a simulated clock would jump."""
+    await trio.lowlevel.checkpoint()
+    return call()
+
 
 async def _scrape(candidate: Candidate) -> dict[str, float]:
     """Return the values of the metrics page by metric, without its prefix."""
@@ -43,7 +54,8 @@
 
     def test_unreachable_workers(self) -> None:
         """Guards against a lost worker with an unanswered start unseen."""
-        run_with_clock(self._unreachable_workers)
+        with patch('trio.to_thread.run_sync', _run_inline):
+            run_with_clock(self._unreachable_workers)
 
     async def _unreachable_workers(self) -> None:
         async with open_cluster(('w1', 'w2')) as (cluster, nursery):
