--- a/src/marjoramwharf/links/peer_usefulness.py
+++ b/src/marjoramwharf/links/peer_usefulness.py
@@ -3,19 +3,20 @@
 A peer that is connected may be unable to execute calls, since it doesn't reach
 the store either or stands still, while another one could.
 
->>> failing, other = PeerUsefulness(), PeerUsefulness()
->>> failing.record_failure(now_s=3)
->>> rank_peers({'e1': failing, 'e2': other})
-['e2', 'e1']
->>> failing.is_useful(now_s=3.5), failing.is_useful(now_s=4)
+>>> usefulness = PeerUsefulness()
+>>> usefulness.record_failure(now_s=3)
+>>> usefulness.is_useful(now_s=3.5), usefulness.is_useful(now_s=4)
 (True, False)
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-from typing import TypeVar
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import trio
+
+from marjoramwharf.links.relay_peers import PeerAddress, PeerSource
 
 # Longer than a peer takes to notice that its own way to the store has failed.
 _USELESS_AFTER_S = 0.7
@@ -23,8 +24,6 @@
 # A useless peer is worth a connection again this long after its last failure.
 _AVOID_S = 5.0
 
-_Peer = TypeVar('_Peer')
-
 
 @dataclass(slots=True)
 class PeerUsefulness:
@@ -55,15 +54,32 @@
         return now_s - self.failed_s >= _AVOID_S
 
 
-def rank_peers(peers: Mapping[_Peer, PeerUsefulness]) -> list[_Peer]:
-    """Return the peers in the order in which to use them.
-
-    Those that are failing come last, the one that failed latest at the end.
-    """
-    return sorted(
-        peers,
-        key=lambda peer: (
-            peers[peer].failing_since_s is not None,
-            peers[peer].failed_s,
-        ),
-    )
+@dataclass(slots=True)
+class PeerRecords:
+    """The usefulness of each known peer."""
+
+    peers: PeerSource
+    _records: dict[PeerAddress, PeerUsefulness] = field(default_factory=dict)
+
+    def find(self, peer: PeerAddress) -> PeerUsefulness:
+        """Return the record of a peer; forget those that are not known."""
+        if peer not in self._records:
+            for former in self._records.keys() - set(self.peers()):
+                self._records.pop(former)
+        return self._records.setdefault(peer, PeerUsefulness())
+
+    def rank(self, peers: Iterable[PeerAddress]) -> list[PeerAddress]:
+        """Return the peers in the order in which to use them.
+
+        Those that are failing come last, the one that failed latest at the
+        end.
+        """
+        return sorted(peers, key=self._rank_of)
+
+    def is_useful(self, peer: PeerAddress) -> bool:
+        """Whether a peer is worth a connection now."""
+        return self.find(peer).is_useful(now_s=trio.current_time())
+
+    def _rank_of(self, peer: PeerAddress) -> tuple[bool, float]:
+        record = self.find(peer)
+        return record.failing_since_s is not None, record.failed_s
--- a/src/marjoramwharf/links/store_relay.py
+++ b/src/marjoramwharf/links/store_relay.py
@@ -18,7 +18,7 @@
 )
 from marjoramwharf.links.peer_client import PeerClient
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
-from marjoramwharf.links.peer_usefulness import PeerUsefulness, rank_peers
+from marjoramwharf.links.peer_usefulness import PeerRecords
 from marjoramwharf.links.relay_peers import (
     PeerAddress,
     PeerSource,
@@ -64,16 +64,17 @@
     reachability: StoreReachability
     rng: random.Random = field(default_factory=random.Random)
     _peers: RelayPeers = field(init=False)
-    _usefulness: dict[PeerAddress, PeerUsefulness] = field(default_factory=dict)
+    _records: PeerRecords = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the connections to peers."""
+        self._records = PeerRecords(self.peers)
         self._peers = RelayPeers(
             self.peers,
             self.identity,
             lambda: self.reachability.is_unreachable,
             size=_MAX_PEERS_COUNT,
-            is_admitted=self._is_useful,
+            is_admitted=self._records.is_useful,
             rng=self.rng,
         )
 
@@ -95,7 +96,7 @@
         """
         unavailable: Failure = PeerUnreachable(message='no peer is connected')
         clients = self._peers.connected()
-        for peer in rank_peers({peer: self._judge(peer) for peer in clients}):
+        for peer in self._records.rank(clients):
             try:
                 return await self._call_peer(peer, clients[peer], call)
             except StoreRefused:
@@ -108,7 +109,7 @@
         self, peer: PeerAddress, client: PeerClient, call: StoreCall
     ) -> StoreReply:
         """Let a peer execute a call, and record whether it could."""
-        usefulness = self._judge(peer)
+        usefulness = self._records.find(peer)
         try:
             reply = await _send_call(client, call)
         except (StoreUnavailable, StoreAnswerLost) as failure:
@@ -123,19 +124,6 @@
         usefulness.record_answer()
         return reply
 
-    def _judge(self, peer: PeerAddress) -> PeerUsefulness:
-        """Return the record of a peer; forget those that are not known."""
-        usefulness = self._usefulness.get(peer)
-        if usefulness is None:
-            known = set(self.peers())
-            for former in self._usefulness.keys() - known:
-                self._usefulness.pop(former)
-            usefulness = self._usefulness.setdefault(peer, PeerUsefulness())
-        return usefulness
-
-    def _is_useful(self, peer: PeerAddress) -> bool:
-        return self._judge(peer).is_useful(now_s=trio.current_time())
-
 
 async def handle_store_call(
     store: PollingStore,
