Take back the calls for advice and counts through another entry

They were built and not connected to the program. Nothing shows that an entry loses only its path to the advice service. Forwarding was also tried after a refusal by the service, which would take more than this entry's turn there, and a count would be refused 0.6 s later whenever there is no owner, though such a request should be refused at once.

--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -14,11 +14,6 @@
 
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.counters import CellCounters
-from marjoramwharf.cells.entry_calls import (
-    AskPeer,
-    ask_no_peer,
-    make_count_call,
-)
 from marjoramwharf.cells.job_status import (
     FINAL_STATES,
     PublicJobState,
@@ -58,9 +53,6 @@
 _LOG = part_logger('intake')
 _RETRY_PAUSE_S = 0.05
 
-# Longer than another entry waits for the owner.
-_COUNT_TIMEOUT_S = 0.6
-
 _FINAL_STATES = {
     JobPhase.DONE: PublicJobState.DONE,
     JobPhase.FAILED: PublicJobState.FAILED,
@@ -89,8 +81,7 @@
 
     ``local_cell`` returns the cell if this entry owns it, and ``owner_link``
     asks the owner otherwise. ``is_store_reachable`` tells whether a call to
-    the store is likely to succeed. ``ask_peer`` asks another entry what the
-    owner doesn't tell this one.
+    the store is likely to succeed.
     """
 
     store: PollingStore
@@ -99,7 +90,6 @@
     local_cell: CellSource
     is_store_reachable: Callable[[], bool] = _always
     counters: CellCounters = field(default_factory=CellCounters)
-    ask_peer: AskPeer = ask_no_peer
     _unknown_jobs: UnknownJobs = field(init=False)
 
     def __post_init__(self) -> None:
@@ -249,20 +239,8 @@
     async def waiting_count(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not begun.
 
-        Raises a ``Failure`` if neither this entry nor another one that it
-        reaches can ask the owner.
+        Raises a ``Failure`` if the owner can't be asked.
         """
-        try:
-            return await self.count_at_owner(queue)
-        except Failure as failure:
-            _LOG.debug('owner call failed', error=str(failure))
-        reply = await self.ask_peer(
-            make_count_call(self.cell, queue), _COUNT_TIMEOUT_S
-        )
-        return int(reply.body)
-
-    async def count_at_owner(self, queue: str) -> int:
-        """Return the same as ``waiting_count``, by this entry's own path."""
         cell = self.local_cell()
         if cell is not None and cell.is_loaded:
             count = cell.waiting_count(queue)
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -181,6 +181,7 @@
             ttl_ms=max(_OWNER_TTL_MS, settings.store_limits.min_ttl_ms),
             cpu_share=settings.cpu_share,
             run_cell=self.run_cell,
+            is_prepared=lambda: self.config.current is not None,
         )
         intake = Intake(
             self.store,
