Take the room of lasting tasks only for those that were placed

Callers would see lasting tasks start up to 4 s late, beside workers with room, while short jobs arrive: an earlier lasting step that found no worker (a label, memory) used up the room that the planner leaves to lasting tasks in each pass. They were started at last since a step that has waited for 4 s may use any room.

Cause: LastingRoom.take subtracted the tasks that fit before they were placed.

--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -125,6 +125,8 @@
             self._record_shortage(group, plan, rank, usable)
             if plan is not None:
                 planned.append(plan)
+                if rank.tier is Tier.LASTING:
+                    room.take(first.step.request, len(plan.runs), service)
         return planned
 
     def _ranked_groups(
@@ -354,7 +356,7 @@
     """
     if rank.tier is not Tier.LASTING:
         return group
-    count = room.take(
+    count = room.fitting_count(
         group[0].step.request,
         len(group),
         service,
--- a/src/marjoramwharf/scheduling/short_work.py
+++ b/src/marjoramwharf/scheduling/short_work.py
@@ -101,22 +101,25 @@
     now_ms: int
     _left_millicores: dict[str, float] = field(default_factory=dict)
 
-    def take(
+    def fitting_count(
         self, step: StepRequest, count: int, service: str, workers: _Workers
     ) -> int:
-        """Take the room of tasks of a step; returns how many of them fit.
+        """Return how many of ``count`` tasks of a step fit.
 
         A gang fits as a whole or not at all.
         """
         left = self._left_millicores.get(service)
         if left is None:
             left = self._measure(workers())
+            self._left_millicores[service] = left
         fitting = max(0, left / max(1, step.cpu_millicores))
-        taken = math.floor(min(count, fitting))
-        if step.is_gang and taken < count:
-            taken = 0
-        self._left_millicores[service] = left - taken * step.cpu_millicores
-        return taken
+        found = math.floor(min(count, fitting))
+        return 0 if step.is_gang and found < count else found
+
+    def take(self, step: StepRequest, count: int, service: str) -> None:
+        """Take the room of the tasks of a step that have been placed."""
+        left = self._left_millicores[service]
+        self._left_millicores[service] = left - count * step.cpu_millicores
 
     def _measure(self, workers: Iterable[Worker]) -> float:
         """Return the room on these workers.
