Judge by its own service whether a filling task may start at any harm

Callers would see a filling job wait long, with most of its service's room free, where the workers of other services are busy: while the whole fleet isn't idle, a late one waits 10 s for each unit of harm to a serving job that it is expected to do.

Cause: CandidatePool.is_idle judged all workers of the cell, though a task only runs on those of its service. Why it works: the share in use is now that of the workers of the service, usable or not, as before. With one service nothing changes. tests.scheduling has no other change (4 known failures of test_waiting_steps); lint and types are clean.

--- a/src/marjoramwharf/scheduling/candidates.py
+++ b/src/marjoramwharf/scheduling/candidates.py
@@ -22,7 +22,7 @@
 # In a fleet with more workers, a sample of this size is searched first.
 _SAMPLE_SIZE = 512
 
-# Below this share of the CPU in use the fleet counts as idle.
+# Below this share of the CPU in use a service counts as idle.
 _IDLE_USE_SHARE = 0.6
 
 
@@ -44,7 +44,7 @@
     fleet: Fleet
     now_s: float
     _by_service: dict[str, list[Candidate]] = field(default_factory=dict)
-    _is_idle: bool | None = None
+    _idle_services: dict[str, bool] = field(default_factory=dict)
 
     def of_service(self, service: str) -> list[Candidate]:
         """Return the candidates of a service, in no special order."""
@@ -57,11 +57,13 @@
             self._by_service[service] = found
         return found
 
-    def is_idle(self) -> bool:
-        """Whether much of the fleet's CPU was neither reserved nor in use."""
-        if self._is_idle is None:
-            self._is_idle = _is_idle(self.fleet.workers.values())
-        return self._is_idle
+    def is_idle(self, service: str) -> bool:
+        """Whether much of a service's CPU is neither reserved nor in use."""
+        found = self._idle_services.get(service)
+        if found is None:
+            found = _is_idle(self.fleet.workers_of(service))
+            self._idle_services[service] = found
+        return found
 
 
 def search_parts(
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -52,7 +52,7 @@
 _LATE_HARM = 0.15
 _LATE_HARM_PER_S = 0.1
 
-# A task that waited this long starts whatever the harm while the fleet is idle.
+# A task that waited this long starts whatever the harm if its service is idle.
 _MAX_IDLE_WAIT_S = 1.5
 
 # Tickets of the advice service by worker; a source returns ``None`` for a step
@@ -106,7 +106,7 @@
             context = PlacementContext(
                 self.model,
                 now_s,
-                allowed_harm=_allowed_harm(first, rank, pool),
+                allowed_harm=_allowed_harm(first, service, rank, pool),
                 serving_job_millicores=mean_millicores,
             )
             try:
@@ -332,10 +332,12 @@
         ]
 
 
-def _allowed_harm(task: Task, rank: Rank, pool: CandidatePool) -> float:
+def _allowed_harm(
+    task: Task, service: str, rank: Rank, pool: CandidatePool
+) -> float:
     """Return the largest harm at which a task, if it fills, may start."""
     waited_s = pool.now_s - task.ready_since_s
-    if waited_s > _MAX_IDLE_WAIT_S and pool.is_idle():
+    if waited_s > _MAX_IDLE_WAIT_S and pool.is_idle(service):
         return math.inf
     if rank.tier is not Tier.ON_TIME:
         return _LATE_HARM + _LATE_HARM_PER_S * waited_s
