Choose the rack of a step by how many of its tasks fit there

Callers would see a job whose step prefers one rack wait for as long as the rack with most free CPU has it in pieces that are too small, or has no free memory, though the step fits in another rack.

Cause: before a step's first start, its rack was the one with the largest sum of free CPU, whether or not any task fits. Why it works: racks are compared by the number of tasks that fit now, up to that of the step, and only then by free CPU, so a rack without room is chosen only if none has any.

--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -209,6 +209,25 @@
             capacity.accelerators_count - self.reserved_accelerators_count
         )
 
+    def fitting_count(self, step: StepRequest) -> int:
+        """Return how many tasks of a step the free resources suffice for."""
+        capacity = self.listing.capacity
+        free_and_needed = (
+            (capacity.memory_mb - self.reserved_memory_mb, step.memory_mb),
+            (
+                capacity.accelerators_count - self.reserved_accelerators_count,
+                step.accelerators_count,
+            ),
+            (
+                capacity.cpu_millicores - self.reserved_millicores,
+                0 if step.fills else step.cpu_millicores,
+            ),
+        )
+        counts = [
+            max(0, free) // needed for free, needed in free_and_needed if needed
+        ]
+        return min(counts, default=step.count)
+
     def could_ever_run(self, step: StepRequest) -> bool:
         """Whether this worker, if it were empty, could run a task of a step."""
         capacity = self.capacity
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -37,6 +37,7 @@
 )
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.preemption import Shortage
+from marjoramwharf.scheduling.rack_choice import workers_of_one_rack
 from marjoramwharf.scheduling.short_work import LastingRoom
 from marjoramwharf.scheduling.unplaceable_steps import UnplaceableSteps
 
@@ -256,7 +257,7 @@
         if group[0].step.request.is_gang:
             return self._place_gang(group[0], candidates, context)
         if group[0].step.request.needs_one_rack:
-            candidates = _workers_of_one_rack(group[0].step, candidates)
+            candidates = workers_of_one_rack(group[0].step, candidates)
         planned: list[Run] = []
         for part in search_parts(group[0].step, candidates):
             waiting = group[len(planned) :]
@@ -365,29 +366,3 @@
         lambda: (candidate.worker for candidate in candidates),
     )
     return group[:count]
-
-
-def _workers_of_one_rack(
-    step: Step, candidates: Sequence[Candidate]
-) -> list[Candidate]:
-    """Return the candidates of the rack that a step runs in already.
-
-    Before its first start, that is the rack with the most free CPU on workers
-    that could run its tasks.
-    """
-    chosen = ''
-    racks: dict[str, float] = {}
-    for candidate in candidates:
-        worker = candidate.worker
-        if not worker.could_ever_run(step.request):
-            continue
-        free = worker.capacity.cpu_millicores - worker.reserved_millicores
-        racks[worker.listing.rack] = racks.get(worker.listing.rack, 0) + free
-        if worker.runs_count_of(step):
-            chosen = chosen or worker.listing.rack
-    chosen = chosen or max(racks, key=racks.__getitem__, default='')
-    return [
-        candidate
-        for candidate in candidates
-        if candidate.worker.listing.rack == chosen
-    ]
