Let a step leave its rack where it would wait without an end

Callers would see a gang that prefers one rack never start, and lasting tasks that do stay away for good, though other racks have room for them: a gang that no rack can hold (large, or workers of its rack lost), and the rest of a lasting step whose rack is full. The preference costs run time only, and docs/platform.md named the wait as a gap.

Cause: the preference for one rack was a condition. Why it works: after 2 s, lasting tasks, for which several racks cost nothing, go wherever there is room, and a gang as well while its service is idle; in a busy one it goes on waiting for a rack that gets free, since it would take longer in several (test_gang_in_a_busy_service fails without that). The rack still comes first. tests.scheduling passes; lint and types are clean.

--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -50,13 +50,15 @@
     """What a placement depends on besides the task and the workers.
 
     A filling task is placed only where its harm is at most ``allowed_harm``.
-    ``serving_job_millicores`` is the mean size of a serving job.
+    ``serving_job_millicores`` is the mean size of a serving job. Tasks that
+    should run in one rack are placed in several if they ``may_span_racks``.
     """
 
     model: InterferenceModel
     now_s: float
     allowed_harm: float = math.inf
     serving_job_millicores: float = DEFAULT_SERVING_JOB_MILLICORES
+    may_span_racks: bool = False
 
 
 # The cost of a task on a candidate, infinite if it must not run there now.
@@ -208,21 +210,21 @@
 ) -> list[tuple[Task, Worker]] | None:
     """Return a worker for each task of a gang, ``None`` if any gets none.
 
-    Where the step asks for it, all workers are in one rack.
+    Where the step asks for it, all workers are in one rack if possible.
     """
-    one_rack = tasks[0].step.request.needs_one_rack
-    racks = {''}
-    if one_rack:
-        racks = {candidate.worker.listing.rack for candidate in candidates}
-    for rack in sorted(racks):
+    if not tasks[0].step.request.needs_one_rack:
+        return _choose_for_all(tasks, fleet, candidates, context)
+    for rack in sorted({found.worker.listing.rack for found in candidates}):
         usable = [
             candidate
             for candidate in candidates
-            if not one_rack or candidate.worker.listing.rack == rack
+            if candidate.worker.listing.rack == rack
         ]
-        found = _choose_for_all(tasks, fleet, usable, context)
-        if found is not None:
-            return found
+        chosen = _choose_for_all(tasks, fleet, usable, context)
+        if chosen is not None:
+            return chosen
+    if context.may_span_racks:
+        return _choose_for_all(tasks, fleet, candidates, context)
     return None
 
 
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -37,7 +37,10 @@
 )
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.preemption import Shortage
-from marjoramwharf.scheduling.rack_choice import workers_of_one_rack
+from marjoramwharf.scheduling.rack_choice import (
+    may_span_racks,
+    workers_of_one_rack,
+)
 from marjoramwharf.scheduling.short_work import LastingRoom
 from marjoramwharf.scheduling.unplaceable_steps import UnplaceableSteps
 
@@ -109,6 +112,7 @@
                 now_s,
                 allowed_harm=_allowed_harm(first, service, rank, pool),
                 serving_job_millicores=mean_millicores,
+                may_span_racks=may_span_racks(first, service, pool),
             )
             try:
                 plan = self._plan_group(
@@ -257,13 +261,27 @@
         if group[0].step.request.is_gang:
             return self._place_gang(group[0], candidates, context)
         if group[0].step.request.needs_one_rack:
-            candidates = workers_of_one_rack(group[0].step, candidates)
+            return self._place_in_one_rack(group, candidates, context)
         planned: list[Run] = []
         for part in search_parts(group[0].step, candidates):
             waiting = group[len(planned) :]
             planned.extend(self._place_tasks(waiting, part, context))
         return planned
 
+    def _place_in_one_rack(
+        self,
+        group: Sequence[Task],
+        candidates: Sequence[Candidate],
+        context: PlacementContext,
+    ) -> list[Run]:
+        """Place tasks in the rack of their step, and in others if they may."""
+        in_rack = workers_of_one_rack(group[0].step, candidates)
+        planned = self._place_tasks(group, in_rack, context)
+        if context.may_span_racks:
+            waiting = group[len(planned) :]
+            planned.extend(self._place_tasks(waiting, candidates, context))
+        return planned
+
     def _place_tasks(
         self,
         tasks: Sequence[Task],
--- a/src/marjoramwharf/scheduling/rack_choice.py
+++ b/src/marjoramwharf/scheduling/rack_choice.py
@@ -5,9 +5,12 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from marjoramwharf.scheduling.candidates import Candidate
+from marjoramwharf.scheduling.candidates import Candidate, CandidatePool
 from marjoramwharf.scheduling.fleet import Worker
-from marjoramwharf.scheduling.job_state import Step
+from marjoramwharf.scheduling.job_state import Step, Task
+
+# A task that waited this long for a rack may run apart from others of its step.
+_MAX_RACK_WAIT_S = 2.0
 
 
 class _RackRoom(NamedTuple):
@@ -20,6 +23,21 @@
     free_millicores: int = 0
 
 
+def may_span_racks(first: Task, service: str, pool: CandidatePool) -> bool:
+    """Whether the tasks of a step may run in several racks by now.
+
+    ``first`` is the task of the step that waits for the longest time. Work that
+    ends takes longer in several racks. A gang goes there only while its service
+    is idle: no rack may be large enough. Of another step that ends, any rack
+    with room takes a part.
+    """
+    request = first.step.request
+    waited_s = pool.now_s - first.ready_since_s
+    if not request.needs_one_rack or waited_s <= _MAX_RACK_WAIT_S:
+        return False
+    return request.is_lasting or (request.is_gang and pool.is_idle(service))
+
+
 def workers_of_one_rack(
     step: Step, candidates: Sequence[Candidate]
 ) -> list[Candidate]:
--- a/tests/scheduling/test_waiting_steps.py
+++ b/tests/scheduling/test_waiting_steps.py
@@ -85,6 +85,20 @@
         runs = self._plan(make_fleet(*workers), now_s=_WAITED_S)
         self.assertEqual(8, _count(runs, gang))
 
+    def test_gang_in_a_busy_service(self) -> None:
+        """Guards against a gang in several racks while one may get room."""
+        workers = [
+            make_worker(f'w{number}', labels=('a', f'r{number}'))
+            for number in range(4)
+        ]
+        for worker in workers:
+            self._fill(worker, left_millicores=8_000)
+        gang = self._add(
+            'gang', 4, cpu_millicores=8_000, is_gang=True, needs_one_rack=True
+        )
+        runs = self._plan(make_fleet(*workers), now_s=_WAITED_S)
+        self.assertEqual(0, _count(runs, gang))
+
     def test_lasting_tasks_of_a_full_rack(self) -> None:
         """Guards against lasting tasks that wait for the rack of others."""
         workers = [
