--- a/tests/cells/test_malformed_records.py
+++ b/tests/cells/test_malformed_records.py
@@ -27,6 +27,7 @@
     job_request,
     open_cluster,
     run_with_clock,
+    step,
 )
 
 _JUNK = b'\xc1 not a record'
@@ -64,6 +65,10 @@
         """Guards against a bad request that hides those after it."""
         run_with_clock(self._request)
 
+    def test_request_of_a_step_after_a_missing_one(self) -> None:
+        """Guards against a job that no owner can load, which hides all."""
+        run_with_clock(self._request_that_cannot_be_scheduled)
+
     def test_progress(self) -> None:
         """Guards against a job that runs again as its progress is lost."""
         run_with_clock(self._progress)
@@ -108,6 +113,15 @@
             await _wait_done(cluster, 'bb')
             self.assertEqual(1, candidate.tenures_count)
 
+    async def _request_that_cannot_be_scheduled(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            await cluster.submit(job_request('xx', step(1, after=(5,))))
+            candidate = cluster.spawn(nursery, 'e1')
+            await _wait_done(cluster, 'aa')
+            await cluster.submit(job_request('yy', step(1, after=(5,))))
+            await _wait_done(cluster, 'bb')
+            self.assertEqual(1, candidate.tenures_count)
+
     async def _progress(self) -> None:
         async with open_cluster() as (cluster, nursery):
             damaged = job_request('dd')
