Leave out a stored job that can't be scheduled, and load the others

Intake checks requests, so it takes a fault there or an entry of another version; nothing shows that it happened.

Cause: an unexpected error with one job left Inbox.load, which ends the tenure, or Inbox.apply, after which the watcher reads and passes the same job again. Why it works: such a job is logged and left out, like one that can't be decoded, and its runs, if any, are stopped as unknown ones.

--- a/src/marjoramwharf/cells/inbox.py
+++ b/src/marjoramwharf/cells/inbox.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from marjoramwharf.cells.clocks import boot_s, wall_ms
@@ -18,6 +19,7 @@
 )
 from marjoramwharf.errors import JournalDamaged
 from marjoramwharf.ids import JobId
+from marjoramwharf.isolation import log_unexpected
 from marjoramwharf.links.store import (
     PollingStore,
     StoredValue,
@@ -55,7 +57,7 @@
         """Restore all jobs and their progress; raises store failures.
 
         A job whose progress can't be decoded is left out: what of it has run is
-        not known, so nothing of it may run.
+        not known, so nothing of it may run. So is one that can't be scheduled.
         """
         progress = await self._read_progress(store)
         found = (await store.read_prefix(inbox_prefix(self.cell))).found
@@ -64,11 +66,12 @@
         for stored in found:
             request = self._decode_request(stored)
             if request is not None and request.job_id not in self._damaged:
-                record, revision = progress.get(request.job_id, (None, 0))
-                job = restore_job(
-                    request, record, revision=revision, now_s=now_s
-                )
-                self.job_table.add_restored(job, now_s=now_s, now_ms=now_ms)
+                with self._left_out_on_error(request.job_id):
+                    record, revision = progress.get(request.job_id, (None, 0))
+                    job = restore_job(
+                        request, record, revision=revision, now_s=now_s
+                    )
+                    self.job_table.add_restored(job, now_s=now_s, now_ms=now_ms)
         self.job_table.create_due_occurrences(now_s=now_s, now_ms=now_ms)
         for stored in found:
             self._apply_cancellation(stored.key)
@@ -107,10 +110,21 @@
         request = self._decode_request(stored)
         if request is None or request.job_id in self._damaged:
             return
-        self.job_table.add(request, now_s=now_s, now_ms=now_ms)
+        with self._left_out_on_error(request.job_id):
+            self.job_table.add(request, now_s=now_s, now_ms=now_ms)
         if request.job_id in self._cancelled:
             self._cancel_job(request.job_id)
 
+    @contextmanager
+    def _left_out_on_error(self, job_id: JobId) -> Iterator[None]:
+        """Leave out a job that can't be added, so that it hides no other."""
+        try:
+            yield
+        except Exception:
+            log_unexpected(f'job {job_id}')
+            self._damaged.add(job_id)
+            self.job_table.forget(job_id)
+
     async def _read_progress(self, store: PollingStore) -> _ProgressByJob:
         """Return the progress by job; remember the jobs with a damaged one."""
         prefix = progress_prefix(self.cell)
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from contextlib import AbstractContextManager
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import replace
 from typing import Any
 from unittest.mock import PropertyMock, patch
@@ -18,6 +18,7 @@
     EndAcknowledgements,
     _UnacknowledgedEnd,
 )
+from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.report_processor import ReportProcessor
@@ -200,6 +201,9 @@
     'evacuated workers are known to the planner and to orders': lambda: (
         patch.object(Fleet, 'is_evacuated', _never)
     ),
+    'a job that cannot be scheduled hides no other': lambda: patch.object(
+        Inbox, '_left_out_on_error', nullcontext
+    ),
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
