Show a task that waits for a lease which no order has granted

But an order whose lease has ended is refused as late, and a lease never ends later than the order says. For a worker that is young when it restarts, that is much sooner.

--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -44,6 +44,13 @@
 
 # A listing is read within this time, and a poll under way waits for longer.
 _LISTED_S = 0.6
+
+# How long a worker has lived when it restarts, and the time after which the
+# leases in all orders to it have ended.
+_YOUNG_S = 2
+_LEASES_ENDED_S = 10
+_LATE_ORIGIN_MS = 17_000
+
 _CLOCK_LEAD_MS = 3_000
 
 
@@ -98,6 +105,15 @@
     await cluster.wait_until(lambda: successor.cell is not None)
 
 
+async def _delay_order(cluster: Cluster) -> None:
+    """Order a long task; the worker may carry the order out late."""
+    client = cluster.worker_client
+    client.starts_to_delay = 4
+    client.stops_to_drop = 100
+    await cluster.submit(_LONG)
+    await cluster.wait_until(lambda: bool(client.delayed_orders))
+
+
 async def _check_start_elsewhere(cluster: Cluster) -> None:
     """Cut the worker off; its task must start elsewhere, but not too early."""
     cluster.worker_client.unreachable.add(_RESTARTED)
@@ -140,6 +156,14 @@
         """Guards against a restart that is noticed only by a timeout."""
         run_with_clock(self._order_finds_another_incarnation)
 
+    def test_young_worker_restarts_and_is_lost(self) -> None:
+        """Guards against a task that waits for leases longer than any sent."""
+        run_with_clock(self._young_worker_restarts_and_is_lost)
+
+    def test_order_outlives_two_restarts(self) -> None:
+        """Guards against forgetting the lease in an order of long before."""
+        run_with_clock(self._order_outlives_two_restarts)
+
     def test_listing_changes_while_a_poll_waits(self) -> None:
         """Guards against an answer judged by an address it didn't come from."""
         run_with_clock(self._listing_changes_while_a_poll_waits)
@@ -160,6 +184,42 @@
             await _start_long_task(cluster, worker)
             self.assertLess(trio.current_time() - began_s, _ALMOST_NOTICED_S)
 
+    async def _young_worker_restarts_and_is_lost(self) -> None:
+        """The order is carried out as late as its lease allows."""
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            await cluster.wait_until(lambda: owner.cell is not None)
+            await trio.sleep(_YOUNG_S)
+            client = cluster.worker_client
+            await _delay_order(cluster)
+            worker = cluster.restart_worker(_RESTARTED)
+            await trio.sleep(_ALMOST_NOTICED_S)
+            client.unreachable.add(_RESTARTED)
+            second = await cluster.add_worker('w2')
+            await trio.sleep(_YOUNG_S)
+            client.delayed_orders[-1]()
+            self.assertTrue(worker.running)
+            await cluster.wait_until(
+                lambda: bool(second.running), limit_s=_LEASES_ENDED_S
+            )
+
+    async def _order_outlives_two_restarts(self) -> None:
+        """The second incarnation is young, so its own leases end early."""
+        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+            await _elect(cluster, nursery)
+            client = cluster.worker_client
+            await _delay_order(cluster)
+            for origin_ms in (0, _LATE_ORIGIN_MS):
+                worker = cluster.restart_worker(
+                    _RESTARTED, clock_origin_ms=origin_ms
+                )
+                await trio.sleep(_ALMOST_NOTICED_S)
+            client.unreachable.add(_RESTARTED)
+            await cluster.add_worker('w2')
+            client.delayed_orders[0]()
+            self.assertTrue(worker.running)
+            await cluster.wait_until(lambda: cluster.starts().total() > 1)
+
     async def _listing_changes_while_a_poll_waits(self) -> None:
         """The poll's connection is reset, and a probe finds another worker."""
         async with open_cluster((_RESTARTED,)) as (cluster, nursery):
