Bound the lease of a late order at a restarted worker by the orders that were sent

Callers would see a task wait for 25.2 s if its start order got no answer, its worker started again and was then lost: the new incarnation was assumed to take the order 13 s late and to hold its own maximum of 10 s.

Cause: the bound left out that an order ends on whatever clock reads it: it is refused as late from its lease end on, and grants nothing beyond it. Why it works: the assumed lease ends at the latest end ever granted to a former incarnation, as a number on the present clock, if that is sooner. The number is kept over several restarts, as an order of the first life may reach the third; the new mutant that forgets it lets a task run at two workers in test_order_outlives_two_restarts. Both tests now restart the worker only after an order without an answer. Both mutants of late leases are caught; test_restarted_workers, test_late_answers, test_link_log and test_worker_clock pass; lint and types are clean.

--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -50,7 +50,11 @@
 
 @dataclass(slots=True, eq=False)
 class ReportProcessor:
-    """Applies the reports of one worker, in the order of its polls."""
+    """Applies the reports of one worker, in the order of its polls.
+
+    ``_latest_lease_end_ms`` is the latest end of a lease granted to a former
+    incarnation of the worker, as a number in an order.
+    """
 
     worker: Worker
     owner: LinkOwner
@@ -59,6 +63,7 @@
     orders: WorkerOrders
     acknowledgements: EndAcknowledgements
     _unknown_stops_s: dict[_RunKey, float] = field(default_factory=dict)
+    _latest_lease_end_ms: int = 0
 
     def process(
         self,
@@ -104,8 +109,13 @@
             self.clock.observe(report.clock_ms, now_s=now_s)
         else:
             former_lease_end_ms = self.clock.lease_end_ms
+            self._latest_lease_end_ms = max(
+                self._latest_lease_end_ms, former_lease_end_ms
+            )
             self._restart_clock(
-                report.clock_ms, now_s, lease_ms=self._late_lease_ms(now_s)
+                report.clock_ms,
+                now_s,
+                lease_ms=self._late_lease_ms(report.clock_ms, now_s),
             )
             log_restart(
                 self.worker,
@@ -144,16 +154,18 @@
             clock_ms, now_s=now_s, lease_end_ms=clock_ms + lease_ms
         )
 
-    def _late_lease_ms(self, now_s: float) -> int:
+    def _late_lease_ms(self, clock_ms: int, now_s: float) -> int:
         """Return how long a late order may keep a run alive here, 0 if none.
 
-        The end of its lease was meant for the clock of a former incarnation,
-        so only the worker's own limit holds.
+        The end of its lease was meant for the clock of a former incarnation. On
+        the present clock, the order is refused from then on, and before it the
+        worker's own limit holds as well.
         """
         if not any(_may_start_late(run, now_s) for run in self.worker.runs):
             return 0
         late_ms = round(_LATE_ORDER_WINDOW_S * _MS_PER_S)
-        return late_ms + self.context.max_hold_ms
+        longest_ms = late_ms + self.context.max_hold_ms
+        return max(0, min(longest_ms, self._latest_lease_end_ms - clock_ms))
 
     def _end_or_stop_lost(
         self, run: Run, now_s: float, nursery: trio.Nursery
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -44,6 +44,7 @@
 _send_start = WorkerOrders._send_start
 _send_stop = WorkerOrders._send_stop
 _poll_unknown = WorkerLink._poll_unknown
+_late_lease_ms = ReportProcessor._late_lease_ms
 _plan = PlanLoop._plan
 _add_end = EndAcknowledgements.add
 _run_writer = ProgressWriter.run
@@ -90,10 +91,19 @@
     return self.clock.may_show(report.clock_ms, since_s=self.clock.read_s + 1.2)
 
 
-def _no_late_lease(_self: ReportProcessor, _now_s: float) -> int:
+def _no_late_lease(
+    _self: ReportProcessor, _clock_ms: int, _now_s: float
+) -> int:
     return 0
 
 
+def _lease_of_latest_life(
+    self: ReportProcessor, clock_ms: int, now_s: float
+) -> int:
+    self._latest_lease_end_ms = self.clock.lease_end_ms
+    return _late_lease_ms(self, clock_ms, now_s)
+
+
 async def _write_unguarded(self: ProgressWriter) -> None:
     self.ownership_guard = Guard('nobody', 0)
     await _run_writer(self)
@@ -177,6 +187,9 @@
     'late orders at a restarted worker hold a lease': lambda: patch.object(
         ReportProcessor, '_late_lease_ms', _no_late_lease
     ),
+    'a late order may be one to an incarnation of long before': lambda: (
+        patch.object(ReportProcessor, '_late_lease_ms', _lease_of_latest_life)
+    ),
     'all leases have ended before runs are given up': lambda: patch.object(
         WorkerClock, 'has_lapsed', _always
     ),
--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -106,12 +106,15 @@
 
 
 async def _delay_order(cluster: Cluster) -> None:
-    """Order a long task; the worker may carry the order out late."""
+    """Order a long task; return after an order that gets no answer.
+
+    The worker may carry the order out late.
+    """
     client = cluster.worker_client
     client.starts_to_delay = 4
     client.stops_to_drop = 100
     await cluster.submit(_LONG)
-    await cluster.wait_until(lambda: bool(client.delayed_orders))
+    await cluster.wait_until(lambda: len(client.delayed_orders) > 1)
 
 
 async def _check_start_elsewhere(cluster: Cluster) -> None:
@@ -185,7 +188,7 @@
             self.assertLess(trio.current_time() - began_s, _ALMOST_NOTICED_S)
 
     async def _young_worker_restarts_and_is_lost(self) -> None:
-        """The order is carried out as late as its lease allows."""
+        """The order is carried out late, until the lease in it has ended."""
         async with open_cluster((_RESTARTED,)) as (cluster, nursery):
             owner = cluster.spawn(nursery, 'e1')
             await cluster.wait_until(lambda: owner.cell is not None)
@@ -215,10 +218,11 @@
                 )
                 await trio.sleep(_ALMOST_NOTICED_S)
             client.unreachable.add(_RESTARTED)
-            await cluster.add_worker('w2')
+            second = await cluster.add_worker('w2')
+            self.assertFalse(worker.starts)
             client.delayed_orders[0]()
             self.assertTrue(worker.running)
-            await cluster.wait_until(lambda: cluster.starts().total() > 1)
+            await cluster.wait_until(lambda: bool(second.running))
 
     async def _listing_changes_while_a_poll_waits(self) -> None:
         """The poll's connection is reset, and a probe finds another worker."""
