Show an order under way that is forgotten when its run is stopped

A worker restarts while a start order is under way, so the run is stopped at the new incarnation before the order counts as unanswered. That an order crosses a restart is suspected only (docs/incidents/lease-of-a-former-incarnation.md).

--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -167,6 +167,10 @@
         """Guards against forgetting the lease in an order of long before."""
         run_with_clock(self._order_outlives_two_restarts)
 
+    def test_order_under_way_outlives_two_restarts(self) -> None:
+        """Guards against an order forgotten when its run is stopped."""
+        run_with_clock(self._order_under_way_outlives_two_restarts)
+
     def test_listing_changes_while_a_poll_waits(self) -> None:
         """Guards against an answer judged by an address it didn't come from."""
         run_with_clock(self._listing_changes_while_a_poll_waits)
@@ -224,6 +228,28 @@
             self.assertTrue(worker.running)
             await cluster.wait_until(lambda: bool(second.running))
 
+    async def _order_under_way_outlives_two_restarts(self) -> None:
+        """Only the second worker suits the task when it is started again."""
+        async with open_cluster(()) as (cluster, nursery):
+            await cluster.add_worker(_RESTARTED, kind='b')
+            await _elect(cluster, nursery)
+            client = cluster.worker_client
+            client.starts_to_delay = 1
+            client.stops_to_drop = 100
+            suited = step(required_label='b')
+            await cluster.submit(job_request('aa', suited, payload='ms=60000'))
+            await cluster.wait_until(lambda: bool(client.delayed_orders))
+            await cluster.add_worker(_RESTARTED, kind='a')
+            for _ in range(2):
+                cluster.restart_worker(_RESTARTED)
+                await trio.sleep(_ALMOST_NOTICED_S)
+            second = await cluster.add_worker('w2', kind='b')
+            await trio.sleep(_LISTED_S)
+            client.delayed_orders[0]()
+            cluster.check_single_runs()
+            client.stops_to_drop = 0
+            await cluster.wait_until(lambda: bool(second.running))
+
     async def _listing_changes_while_a_poll_waits(self) -> None:
         """The poll's connection is reset, and a probe finds another worker."""
         async with open_cluster((_RESTARTED,)) as (cluster, nursery):
