Count the order of a stopped run as under way until its run is confirmed

Callers could see a task run at two workers (TWICE): its start order was under way when the worker restarted, which restarted again, and the order was carried out late.

Cause: a start that is stopped while its order is under way never counts as unanswered, since WorkerOrders.start returns before it notes that, so nothing was held back at the next restart. Why it works: for the 13 s in which an order may be late, a run that is being stopped and was never confirmed counts like one without an answer.

--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -273,11 +273,15 @@
 
 
 def _may_start_late(run: Run, now_s: float) -> bool:
-    """Whether an order for a run may still be on its way to its worker."""
+    """Whether an order for a run may still be on its way to its worker.
+
+    A run that is stopped while its order is under way isn't confirmed either.
+    """
     if run.phase is RunPhase.ORDERED:
         return True
     is_recent = now_s - run.planned_s < _LATE_ORDER_WINDOW_S
-    return run.is_start_unconfirmed and is_recent
+    never_started = run.phase is RunPhase.STOPPING and run.started_s is None
+    return is_recent and (run.is_start_unconfirmed or never_started)
 
 
 def _may_be_newer(run: Run, sent_s: float) -> bool:
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -104,6 +104,10 @@
     return _late_lease_ms(self, clock_ms, now_s)
 
 
+def _may_start_late_if_unanswered(run: Run, _now_s: float) -> bool:
+    return run.phase is RunPhase.ORDERED or run.is_start_unconfirmed
+
+
 async def _write_unguarded(self: ProgressWriter) -> None:
     self.ownership_guard = Guard('nobody', 0)
     await _run_writer(self)
@@ -190,6 +194,10 @@
     'a late order may be one to an incarnation of long before': lambda: (
         patch.object(ReportProcessor, '_late_lease_ms', _lease_of_latest_life)
     ),
+    'a stopped run may have an order under way': lambda: patch(
+        f'{ReportProcessor.__module__}._may_start_late',
+        _may_start_late_if_unanswered,
+    ),
     'all leases have ended before runs are given up': lambda: patch.object(
         WorkerClock, 'has_lapsed', _always
     ),
