--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -38,6 +38,10 @@
 )
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.preemption import Shortage
+from marjoramwharf.scheduling.rack_choice import (
+    may_span_racks,
+    workers_of_one_rack,
+)
 from marjoramwharf.scheduling.short_work import LastingRoom
 from marjoramwharf.scheduling.unplaceable_steps import UnplaceableSteps
 
@@ -53,7 +57,7 @@
 _LATE_HARM = 0.15
 _LATE_HARM_PER_S = 0.1
 
-# A task that waited this long starts whatever the harm while the fleet is idle.
+# A task that waited this long starts whatever the harm if its service is idle.
 _MAX_IDLE_WAIT_S = 1.5
 
 # Tickets of the advice service by worker; a source returns ``None`` for a step
@@ -110,8 +114,9 @@
             context = PlacementContext(
                 self.model,
                 now_s,
-                allowed_harm=_allowed_harm(first, rank, pool),
+                allowed_harm=_allowed_harm(first, service, rank, pool),
                 serving_job_millicores=mean_millicores,
+                may_span_racks=may_span_racks(first, service, pool),
             )
             self.latest_pass.consider(first.step, context)
             try:
@@ -131,6 +136,8 @@
             self._record_shortage(group, plan, rank, usable)
             if plan is not None:
                 planned.append(plan)
+                if rank.tier is Tier.LASTING:
+                    room.take(first.step.request, len(plan.runs), service)
         return planned
 
     def _ranked_groups(
@@ -266,13 +273,27 @@
         if group[0].step.request.is_gang:
             return self._place_gang(group[0], candidates, context)
         if group[0].step.request.needs_one_rack:
-            candidates = _workers_of_one_rack(group[0].step, candidates)
+            return self._place_in_one_rack(group, candidates, context)
         planned: list[Run] = []
         for part in search_parts(group[0].step, candidates):
             waiting = group[len(planned) :]
             planned.extend(self._place_tasks(waiting, part, context))
         return planned
 
+    def _place_in_one_rack(
+        self,
+        group: Sequence[Task],
+        candidates: Sequence[Candidate],
+        context: PlacementContext,
+    ) -> list[Run]:
+        """Place tasks in the rack of their step, and in others if they may."""
+        in_rack = workers_of_one_rack(group[0].step, candidates)
+        planned = self._place_tasks(group, in_rack, context)
+        if context.may_span_racks:
+            waiting = group[len(planned) :]
+            planned.extend(self._place_tasks(waiting, candidates, context))
+        return planned
+
     def _place_tasks(
         self,
         tasks: Sequence[Task],
@@ -343,10 +364,12 @@
         ]
 
 
-def _allowed_harm(task: Task, rank: Rank, pool: CandidatePool) -> float:
+def _allowed_harm(
+    task: Task, service: str, rank: Rank, pool: CandidatePool
+) -> float:
     """Return the largest harm at which a task, if it fills, may start."""
     waited_s = pool.now_s - task.ready_since_s
-    if waited_s > _MAX_IDLE_WAIT_S and pool.is_idle():
+    if waited_s > _MAX_IDLE_WAIT_S and pool.is_idle(service):
         return math.inf
     if rank.tier is not Tier.ON_TIME:
         return _LATE_HARM + _LATE_HARM_PER_S * waited_s
@@ -367,36 +390,10 @@
     """
     if rank.tier is not Tier.LASTING:
         return group
-    count = room.take(
+    count = room.fitting_count(
         group[0].step.request,
         len(group),
         service,
         lambda: (candidate.worker for candidate in candidates),
     )
     return group[:count]
-
-
-def _workers_of_one_rack(
-    step: Step, candidates: Sequence[Candidate]
-) -> list[Candidate]:
-    """Return the candidates of the rack that a step runs in already.
-
-    Before its first start, that is the rack with the most free CPU on workers
-    that could run its tasks.
-    """
-    chosen = ''
-    racks: dict[str, float] = {}
-    for candidate in candidates:
-        worker = candidate.worker
-        if not worker.could_ever_run(step.request):
-            continue
-        free = worker.capacity.cpu_millicores - worker.reserved_millicores
-        racks[worker.listing.rack] = racks.get(worker.listing.rack, 0) + free
-        if worker.runs_count_of(step):
-            chosen = chosen or worker.listing.rack
-    chosen = chosen or max(racks, key=racks.__getitem__, default='')
-    return [
-        candidate
-        for candidate in candidates
-        if candidate.worker.listing.rack == chosen
-    ]
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from contextlib import AbstractContextManager
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import replace
 from typing import Any
 from unittest.mock import PropertyMock, patch
@@ -18,6 +18,7 @@
     EndAcknowledgements,
     _UnacknowledgedEnd,
 )
+from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.maintenance import Maintenance
 from marjoramwharf.cells.owner_reach import OwnerReach
 from marjoramwharf.cells.ownership import Campaign
@@ -47,6 +48,7 @@
 _send_start = WorkerOrders._send_start
 _send_stop = WorkerOrders._send_stop
 _poll_unknown = WorkerLink._poll_unknown
+_late_lease_ms = ReportProcessor._late_lease_ms
 _plan = PlanLoop._plan
 _add_end = EndAcknowledgements.add
 _run_writer = ProgressWriter.run
@@ -93,10 +95,23 @@
     return self.clock.may_show(report.clock_ms, since_s=self.clock.read_s + 1.2)
 
 
-def _no_late_lease(_self: ReportProcessor, _now_s: float) -> int:
+def _no_late_lease(
+    _self: ReportProcessor, _clock_ms: int, _now_s: float
+) -> int:
     return 0
 
 
+def _lease_of_latest_life(
+    self: ReportProcessor, clock_ms: int, now_s: float
+) -> int:
+    self._latest_lease_end_ms = self.clock.lease_end_ms
+    return _late_lease_ms(self, clock_ms, now_s)
+
+
+def _may_start_late_if_unanswered(run: Run, _now_s: float) -> bool:
+    return run.phase is RunPhase.ORDERED or run.is_start_unconfirmed
+
+
 async def _write_unguarded(self: ProgressWriter) -> None:
     self.ownership_guard = Guard('nobody', 0)
     await _run_writer(self)
@@ -184,6 +199,13 @@
     'late orders at a restarted worker hold a lease': lambda: patch.object(
         ReportProcessor, '_late_lease_ms', _no_late_lease
     ),
+    'a late order may be one to an incarnation of long before': lambda: (
+        patch.object(ReportProcessor, '_late_lease_ms', _lease_of_latest_life)
+    ),
+    'a stopped run may have an order under way': lambda: patch(
+        f'{ReportProcessor.__module__}._may_start_late',
+        _may_start_late_if_unanswered,
+    ),
     'all leases have ended before runs are given up': lambda: patch.object(
         WorkerClock, 'has_lapsed', _always
     ),
@@ -220,6 +242,9 @@
     'owners that reach nobody give way later each time': lambda: patch(
         f'{Campaign.__module__}._MAX_GIVE_WAY_PAUSE_S', 0
     ),
+    'a job that cannot be scheduled hides no other': lambda: patch.object(
+        Inbox, '_left_out_on_error', nullcontext
+    ),
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
