Let an owner on a machine that is too slow give the cell up

Same class as the lost paths: the owner kept the cell since its lease was renewed, though it could not do the work.

Change: a median of over 0.2 s in 3 s makes the owner give way, as one without paths does, if other entries are known. Owners of less than 20 s aren't judged, so that a cell doesn't change its owner again and again where all entries are slow.

A mutant is caught.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -79,7 +79,7 @@
     _progress_writer: ProgressWriter = field(init=False)
     _plan_loop: PlanLoop = field(init=False)
     _ticket_cache: TicketCache = field(init=False)
-    _maintenance: Maintenance = field(init=False)
+    maintenance: Maintenance = field(init=False)
     _inbox: Inbox = field(init=False)
     _model_saver: ModelSaver = field(init=False)
 
@@ -151,7 +151,7 @@
             on_planned=self._progress_writer.wake,
             preempt=lambda: preemptor.preempt(now_s=boot_s()),
         )
-        self._maintenance = Maintenance(
+        self.maintenance = Maintenance(
             ownership=ownership,
             context=context,
             job_table=self.job_table,
@@ -203,7 +203,7 @@
             nursery.start_soon(inbox.run)
             nursery.start_soon(workers.run)
             nursery.start_soon(self._plan_loop.run)
-            nursery.start_soon(self._maintenance.run)
+            nursery.start_soon(self.maintenance.run)
             nursery.start_soon(run_restarted, 'tickets', self._ticket_cache.run)
             nursery.start_soon(
                 run_restarted, 'model saver', self._model_saver.run
--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -34,8 +34,9 @@
     ``decode_listing`` decodes a key and value below ``workers_prefix`` and
     raises ``BadListing`` if they name no worker. ``hold_ms`` is the length of
     the leases of runs. No run starts in the ``evacuated`` data centres, a view
-    that follows the operators' requests. ``is_isolated`` tells whether this
-    entry has tried to reach other entries and reaches none.
+    that follows the operators' requests. ``has_other_entries`` tells whether
+    other entries are known, and ``is_isolated`` whether this one has tried to
+    reach them and reaches none.
     """
 
     store: PollingStore
@@ -48,6 +49,7 @@
     counters: CellCounters = field(default_factory=CellCounters)
     advice_client: AdviceClient | None = None
     evacuated: AbstractSet[DataCentreId] = frozenset()
+    has_other_entries: Callable[[], bool] = _never
     is_isolated: Callable[[], bool] = _never
 
     @property
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -11,20 +11,24 @@
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.job_cleanup import remove_finished_jobs
+from marjoramwharf.cells.owner_lag import OwnerLag
 from marjoramwharf.cells.owner_reach import OwnerReach
 from marjoramwharf.cells.run_mover import RunMover
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.isolation import run_isolated
+from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.job_state import Job, Run, RunEnd, RunPhase
 from marjoramwharf.scheduling.job_table import JobTable
 
+_LOG = part_logger('cell')
+
 _PERIOD_S = 0.5
 
 # Covers the error of a former owner's estimate of a worker's clock.
 _FORMER_LEASE_MARGIN_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class Maintenance:
     """Checks a cell twice a second for what no message tells."""
 
@@ -37,20 +41,34 @@
     may_plan: Callable[[], bool]
     end_run: Callable[[Run, RunEnd, str], Job]
     stop_surplus_runs: Callable[[Job], None]
+    lag: OwnerLag = field(default_factory=lambda: OwnerLag(boot_s()))
     _reach: OwnerReach = field(default_factory=OwnerReach)
 
     async def run(self) -> None:
         """Check the cell until cancelled."""
         while True:
+            began_s = trio.current_time()
             await trio.sleep(_PERIOD_S)
+            lag_s = trio.current_time() - began_s - _PERIOD_S
+            self.lag.record(lag_s, now_s=boot_s())
             await run_isolated('maintenance', self._maintain)
 
-    async def _maintain(self) -> None:
-        if self._reach.must_give_way(
+    def _must_give_way(self, now_s: float) -> bool:
+        """Whether an entry that reaches more, or is faster, may serve better."""
+        is_too_slow = self.lag.is_too_slow(now_s=now_s)
+        if is_too_slow and self.context.has_other_entries():
+            _LOG.warning(
+                'owner too slow', lag_s=round(self.lag.median_s(now_s=now_s), 3)
+            )
+            return True
+        return self._reach.must_give_way(
             self.worker_registry.fleet,
             is_isolated=self.context.is_isolated(),
-            now_s=boot_s(),
-        ):
+            now_s=now_s,
+        )
+
+    async def _maintain(self) -> None:
+        if self._must_give_way(boot_s()):
             self.ownership.give_way()
         self._end_runs_of_unreached_workers()
         if self.may_plan():
--- a/src/marjoramwharf/links/relay_peers.py
+++ b/src/marjoramwharf/links/relay_peers.py
@@ -85,6 +85,11 @@
             if connection.client.peer is not None
         }
 
+    def others(self) -> list[PeerAddress]:
+        """Return the known peers without this entry itself."""
+        own_id = self.identity.entry_id
+        return [peer for peer in self.peers() if peer.entry_id != own_id]
+
     def is_isolated(self, *, now_s: float) -> bool:
         """Whether peers are known and wanted, but none could be reached."""
         since_s = self._missed_since_s
@@ -107,7 +112,7 @@
                     self._close(tuple(self._connections))
 
     def _note_whether_missed(self, now_s: float) -> None:
-        is_missed = self._others() and not self.connected() and self.is_wanted()
+        is_missed = self.others() and not self.connected() and self.is_wanted()
         if not is_missed:
             self._missed_since_s = None
         elif self._missed_since_s is None:
@@ -140,17 +145,12 @@
         """Return the admitted peers without a connection, in random order."""
         candidates = [
             peer
-            for peer in self._others()
+            for peer in self.others()
             if peer not in self._connections and self.is_admitted(peer)
         ]
         self.rng.shuffle(candidates)
         return candidates
 
-    def _others(self) -> list[PeerAddress]:
-        """Return the known peers without this entry itself."""
-        own_id = self.identity.entry_id
-        return [peer for peer in self.peers() if peer.entry_id != own_id]
-
     def _close(self, peers: Sequence[PeerAddress]) -> None:
         for peer in peers:
             self._connections.pop(peer).scope.cancel()
--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -97,6 +97,9 @@
         now_s = boot_s()
         return {
             'owns_cell': {'': 1},
+            'owner_lag_seconds': {
+                '': cell.maintenance.lag.median_s(now_s=now_s)
+            },
             **_waiting_values(fleet, now_s),
             'oldest_ready_task_seconds': {
                 '': oldest_wait_s(cell.job_table, now_s),
--- a/src/marjoramwharf/programs/_worker_paths.py
+++ b/src/marjoramwharf/programs/_worker_paths.py
@@ -55,6 +55,10 @@
             self._direct, PeerWorkerRelay(self.relay_peers), self.routes
         )
 
+    def has_other_entries(self) -> bool:
+        """Whether other entries are known."""
+        return bool(self.relay_peers.others())
+
     def is_isolated(self) -> bool:
         """Whether this entry reaches no other one, though it has tried."""
         return self.relay_peers.is_isolated(now_s=trio.current_time())
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -271,6 +271,7 @@
                 counters=self.counters,
                 advice_client=self._build_advice_client(),
                 evacuated=self.evacuations.data_centres,
+                has_other_entries=self.worker_paths.has_other_entries,
                 is_isolated=self.worker_paths.is_isolated,
             ),
         )
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -330,6 +330,7 @@
                 bounds=Bounds(),
                 hold_ms=HOLD_MS,
                 evacuated=candidate.evacuations.data_centres,
+                has_other_entries=lambda: len(self.candidates) > 1,
                 is_isolated=lambda: candidate.is_isolated,
             ),
         )
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -20,6 +20,7 @@
 )
 from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.maintenance import Maintenance
+from marjoramwharf.cells.owner_lag import OwnerLag
 from marjoramwharf.cells.owner_reach import OwnerReach
 from marjoramwharf.cells.ownership import Campaign
 from marjoramwharf.cells.plan_loop import PlanLoop
@@ -236,6 +237,9 @@
     'an owner that reaches nobody gives way': lambda: patch.object(
         OwnerReach, 'must_give_way', _never
     ),
+    'a slow owner gives way': lambda: patch.object(
+        OwnerLag, 'is_too_slow', _never
+    ),
     'an owner that reaches some gives no way': lambda: patch(
         f'{OwnerReach.__module__}._reaches_enough', _never
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -25,6 +25,7 @@
     test_late_answers,
     test_malformed_records,
     test_restarted_workers,
+    test_slow_owner,
     test_unreachable_from_owner,
 )
 from tests.cells.mutants import MUTANTS
@@ -39,6 +40,7 @@
     test_evacuations,
     test_unreachable_from_owner,
     test_calls_through_entries,
+    test_slow_owner,
     test_histories,
 )
 
