Show how many workers the owner calls through other entries

Which entry reaches which worker was in no metric; the log line 'route changed' names worker and entry, and these tell how many: workers that are called through others, calls made for the owner, and the owner's lag.

--- a/src/marjoramwharf/cells/counters.py
+++ b/src/marjoramwharf/cells/counters.py
@@ -27,7 +27,8 @@
     ``other_clock_answers_count`` is the number of answers to start orders that
     the clock of the order's lease can't have given, and
     ``jobs_unknown_to_owner_count`` that of the open jobs that were found in the
-    store and that their owner didn't know. ``wait_samples_s`` are the
+    store and that their owner didn't know. ``calls_for_others_count`` is the
+    number of calls to workers that were made for another entry. ``wait_samples_s`` are the
     times from a task's readiness to its start, ``write_samples_s`` the
     durations of group commits, and
     ``answer_samples_s`` the times from a caller's request to the answer.
@@ -41,6 +42,7 @@
     pace_orders_count: int = 0
     other_clock_answers_count: int = 0
     jobs_unknown_to_owner_count: int = 0
+    calls_for_others_count: int = 0
     moved_runs_count: int = 0
     preempted_runs_count: int = 0
     written_bytes: int = 0
--- a/src/marjoramwharf/cells/worker_routes.py
+++ b/src/marjoramwharf/cells/worker_routes.py
@@ -111,6 +111,13 @@
         paths = self._workers.get(worker_id)
         return DIRECT if paths is None else paths.route
 
+    @property
+    def relayed_count(self) -> int:
+        """The number of workers that are called through other entries."""
+        return sum(
+            paths.route is not DIRECT for paths in self._workers.values()
+        )
+
     def route_counts(self) -> Counter[Route]:
         """Return the number of tracked workers by route."""
         return Counter(paths.route for paths in self._workers.values())
--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -38,13 +38,15 @@
 class CellMetrics:
     """Serves the metrics page.
 
-    ``get_cell`` returns the cell that this entry owns, if any.
+    ``get_cell`` returns the cell that this entry owns, if any, and
+    ``count_relayed`` the number of its workers that are called through others.
     """
 
     counters: CellCounters
     client: HttpClient
     output: BoundedOutput | None
     get_cell: Callable[[], Cell | None]
+    count_relayed: Callable[[], int]
     _page: Any = None
     _lock: trio.Lock = field(default_factory=trio.Lock)
 
@@ -77,6 +79,7 @@
             'jobs_unknown_to_owner_total': {
                 '': counters.jobs_unknown_to_owner_count,
             },
+            'calls_for_others_total': {'': counters.calls_for_others_count},
             'moved_runs_total': {'': counters.moved_runs_count},
             'preempted_runs_total': {'': counters.preempted_runs_count},
             'store_commits_total': {'': counters.commits_count},
@@ -97,6 +100,7 @@
         now_s = boot_s()
         return {
             'owns_cell': {'': 1},
+            'relayed_workers': {'': self.count_relayed()},
             'owner_lag_seconds': {
                 '': cell.maintenance.lag.median_s(now_s=now_s)
             },
--- a/src/marjoramwharf/programs/_worker_paths.py
+++ b/src/marjoramwharf/programs/_worker_paths.py
@@ -7,6 +7,7 @@
 import trio
 
 from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.routed_worker_client import RoutedWorkerClient
 from marjoramwharf.cells.worker_messages import WorkerClient
 from marjoramwharf.cells.worker_relay import (
@@ -33,6 +34,7 @@
     client: HttpClient
     identity: PeerIdentity
     peers: PeerSource
+    counters: CellCounters
     routes: WorkerRoutes = field(default_factory=WorkerRoutes)
     relay_peers: RelayPeers = field(init=False)
     _direct: WorkerClient = field(init=False)
@@ -65,6 +67,7 @@
 
     async def answer(self, call: Message) -> Message:
         """Make a call to a worker for another entry; raises ``BadFrame``."""
+        self.counters.calls_for_others_count += 1
         return await answer_worker_call(self._direct, call)
 
     def _has_lost_workers(self) -> bool:
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -159,7 +159,10 @@
         )
         self.directory = EntryDirectory(self.store, record)
         self.worker_paths = WorkerPaths(
-            self.client, self.identity, lambda: self.directory.peers
+            self.client,
+            self.identity,
+            lambda: self.directory.peers,
+            self.counters,
         )
         self.owner_link = OwnerLink(
             view=self.view,
@@ -359,6 +362,7 @@
             self.client,
             self.output,
             self.owned_cell,
+            lambda: self.worker_paths.routes.relayed_count,
         )
         try:
             listener = await open_listener(self.settings.host, METRICS_PORT)
