--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -15,10 +15,8 @@
 from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.clocks import boot_s
-from marjoramwharf.cells.config_cache import ConfigCache
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.entry_directory import EntryDirectory
-from marjoramwharf.cells.evacuations import Evacuations
 from marjoramwharf.cells.instance_settings import InstanceSettings
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.owner_link import OwnerLink, answer_job_call
@@ -37,7 +35,6 @@
 from marjoramwharf.links.peer_server import PeerServer
 from marjoramwharf.links.prefix_watcher import PrefixWatcher
 from marjoramwharf.links.relayed_store import RelayedStore
-from marjoramwharf.links.store import WatchBatch
 from marjoramwharf.links.store_reachability import StoreReachability
 from marjoramwharf.links.store_relay import (
     STORE_METHOD,
@@ -49,18 +46,14 @@
 from marjoramwharf.logs import configure_logs, part_logger
 from marjoramwharf.platform import settings_file
 from marjoramwharf.platform.advice_client import PlatformAdviceClient
-from marjoramwharf.platform.evacuation_requests import evacuated_data_centre
 from marjoramwharf.platform.job_api import JobApi, answer_readiness
 from marjoramwharf.platform.kv_store import KvStore
-from marjoramwharf.platform.operator_config import (
-    CONFIG_KEY,
-    decode_configuration,
-)
 from marjoramwharf.platform.worker_listings import (
     WORKERS_PREFIX,
     decode_listing,
 )
 from marjoramwharf.programs._cell_metrics import CellMetrics
+from marjoramwharf.programs._operator_requests import OperatorRequests
 from marjoramwharf.programs._stop_signals import wait_for_stop
 from marjoramwharf.programs._worker_paths import WorkerPaths
 
@@ -69,7 +62,6 @@
 
 # Named in deploy/system.toml.
 METRICS_PORT = 9464
-_OPERATORS_PREFIX = 'op/'
 _MS_PER_S = 1_000
 
 # Longer than the store takes when it is a hundred times slower than usual. A
@@ -92,9 +84,7 @@
 # For how long an owner whose own lease has expired still extends those of runs.
 _HOLD_AFTER_EXPIRY_S = 1.2
 
-# How long a watch request waits for a change. A silent connection is noticed
-# one second after that, and a configuration must be in force within 2 s.
-_OPERATORS_WAIT_MS = 900
+# How long the watch of the owners waits for a change.
 _OWNERS_WAIT_MS = 2_000
 
 # The platform stops sending connections after two readiness checks, 1 s apart.
@@ -114,16 +104,7 @@
     secret: str = field(default_factory=random_id)
     client: HttpClient = field(default_factory=_build_client)
     view: OwnerView = field(default_factory=OwnerView)
-    config: ConfigCache = field(
-        default_factory=partial(
-            ConfigCache,
-            CONFIG_KEY,
-            decode_configuration,
-        ),
-    )
-    evacuations: Evacuations = field(
-        default_factory=partial(Evacuations, evacuated_data_centre)
-    )
+    operators: OperatorRequests = field(default_factory=OperatorRequests)
     output: BoundedOutput | None = None
     counters: CellCounters = field(default_factory=CellCounters)
     cell: Cell | None = None
@@ -184,7 +165,7 @@
             ttl_ms=max(_OWNER_TTL_MS, settings.store_limits.min_ttl_ms),
             cpu_share=settings.cpu_share,
             run_cell=self.run_cell,
-            is_prepared=lambda: self.config.current is not None,
+            is_prepared=lambda: self.operators.config.current is not None,
         )
         intake = Intake(
             self.store,
@@ -194,7 +175,7 @@
             lambda: self.store.is_reachable,
             self.counters,
         )
-        handler = JobApi(intake, lambda: self.config.current)
+        handler = JobApi(intake, lambda: self.operators.config.current)
         self.api_server = HttpServer(handler.handle)
 
     @property
@@ -213,7 +194,7 @@
     def is_ready(self) -> bool:
         """Tell whether this entry accepts callers."""
         return (
-            self.config.current is not None
+            self.operators.config.current is not None
             and not self.is_stopping
             and self.store.is_reachable
         )
@@ -223,7 +204,7 @@
         settings = self.settings
         async with trio.open_nursery() as nursery:
             for task, call in (
-                ('operator requests', self._follow_operators),
+                ('operator requests', partial(self.operators.run, self.store)),
                 ('owners', self._follow_owners),
                 ('store probe', self.store.run_probe),
                 ('store relay', self.relay.run),
@@ -264,7 +245,7 @@
             context=CellContext(
                 store=self.store,
                 worker_client=self.worker_paths.begin_tenure(),
-                configuration=lambda: self.config.current,
+                configuration=lambda: self.operators.config.current,
                 workers_prefix=WORKERS_PREFIX,
                 decode_listing=decode_listing,
                 bounds=self.settings.bounds,
@@ -273,7 +254,7 @@
                 ),
                 counters=self.counters,
                 advice_client=self._build_advice_client(),
-                evacuated=self.evacuations.data_centres,
+                evacuated=self.operators.evacuations.data_centres,
                 has_other_entries=self.worker_paths.has_other_entries,
                 is_isolated=self.worker_paths.is_isolated,
             ),
@@ -316,23 +297,6 @@
         address = self.settings.advice_address
         return PlatformAdviceClient(self.client, address) if address else None
 
-    async def _follow_operators(self) -> None:
-        await PrefixWatcher(
-            self.store,
-            _OPERATORS_PREFIX,
-            self._apply_operator_batch,
-            _OPERATORS_WAIT_MS,
-        ).run()
-
-    async def _apply_operator_batch(self, batch: WatchBatch) -> None:
-        """Apply changes by operators.
-
-        Nothing is planned without a configuration, so the evacuations, which
-        are read with it, come first.
-        """
-        await self.evacuations.apply(batch)
-        await self.config.apply(batch)
-
     async def _follow_owners(self) -> None:
         await PrefixWatcher(
             self.store, OWNERS_PREFIX, self.view.apply, _OWNERS_WAIT_MS
--- a/tests/programs/test_cell_metrics.py
+++ b/tests/programs/test_cell_metrics.py
@@ -36,7 +36,7 @@
         HttpClient(connect_timeout_s=1),
         None,
         lambda: candidate.cell,
-        lambda: 0,
+        int,
     )
     request = HttpRequest(
         method='GET', target='/metrics', headers={}, body=b'', arrived_s=0
