--- a/tests/cells/candidate.py
+++ b/tests/cells/candidate.py
@@ -22,8 +22,8 @@
 
     Cancelling ``scope`` kills it; ``gate`` lets it stand still for a while.
     ``tenures_count`` tells how often it became the owner. It has no path to the
-    ``unreachable`` workers, while other entries may have one, and none to the
-    other entries while it ``is_isolated``.
+    ``unreachable`` workers, while other entries may have one, none to the
+    ``unconnected`` entries, and none to any entry while it ``is_isolated``.
     """
 
     view: OwnerView = field(default_factory=OwnerView)
@@ -36,6 +36,7 @@
     )
     tenures_count: int = 0
     unreachable: set[WorkerId] = field(default_factory=set)
+    unconnected: list[Candidate] = field(default_factory=list)
     is_isolated: bool = False
 
     def give_way(self) -> None:
--- a/tests/cells/entry_clients.py
+++ b/tests/cells/entry_clients.py
@@ -27,7 +27,9 @@
         if candidate.is_isolated:
             return
         for number, other in enumerate(candidates):
-            if other is not candidate and not other.scope.cancel_called:
+            is_cut_off = any(other is cut for cut in candidate.unconnected)
+            is_gone = is_cut_off or other.scope.cancel_called
+            if other is not candidate and not is_gone:
                 yield EntryId(f'e{number}'), _direct(other, shared_client)
 
     return RoutedWorkerClient(
--- a/tests/cells/test_calls_through_entries.py
+++ b/tests/cells/test_calls_through_entries.py
@@ -44,6 +44,14 @@
         """Guards against an owner that keeps a cell without any path."""
         run_with_clock(self._owner_reaches_nobody)
 
+    def test_owner_reaches_only_an_entry_without_paths(self) -> None:
+        """Guards against an owner that keeps a cell for a useless entry."""
+        run_with_clock(self._owner_reaches_only_a_useless_entry)
+
+    def test_owner_reaches_few_workers_and_no_entry(self) -> None:
+        """Guards against work that waits for the most of the workers."""
+        run_with_clock(self._owner_reaches_few_workers)
+
     def test_owner_reaches_workers_but_no_entry(self) -> None:
         """Guards against a sound owner that gives its cell up."""
         run_with_clock(self._owner_reaches_no_entry)
@@ -114,6 +122,27 @@
             await cluster.wait_until_done(request, limit_s=_DONE_LIMIT_S)
             self.assertEqual(1, sum(entry.tenures_count for entry in others))
 
+    async def _owner_reaches_only_a_useless_entry(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner, useless, other = await _spawn_three(cluster, nursery)
+            _cut_off(owner, cluster)
+            _cut_off(useless, cluster)
+            owner.unconnected.append(other)
+            request = job_request('aa', step(8))
+            await cluster.submit(request)
+            await cluster.wait_until_done(request, limit_s=30)
+
+    async def _owner_reaches_few_workers(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = (await _spawn_three(cluster, nursery))[0]
+            owner.is_isolated = True
+            owner.unreachable.update(map(WorkerId, ('w1', 'w2')))
+            whole = step(3, cpu_millicores=8_000, is_lasting=True)
+            await cluster.submit(job_request('aa', whole, payload='serve'))
+            await cluster.wait_until(
+                lambda: len(cluster.starts()) == whole.count, limit_s=30
+            )
+
     async def _owner_reaches_no_entry(self) -> None:
         async with open_cluster() as (cluster, nursery):
             owner = (await _spawn_three(cluster, nursery))[0]
--- a/tests/cells/test_entry_directory.py
+++ b/tests/cells/test_entry_directory.py
@@ -11,6 +11,14 @@
 from standins.polling_store import PollingMemoryStore
 from tests.cells.cluster import run_with_clock
 
+# Both ids have the same slot.
+_SHARING_IDS = ('e6', 'e20')
+
+
+async def _run_in(scope: trio.CancelScope, directory: EntryDirectory) -> None:
+    with scope:
+        await directory.run()
+
 
 def _directory(store: PollingMemoryStore, name: str) -> EntryDirectory:
     return EntryDirectory(store, EntryRecord(name, name, 1, f'of {name}'))
@@ -31,6 +39,27 @@
         """Guards against a read whose size grows with the number of entries."""
         run_with_clock(self._many_entries)
 
+    def test_shared_slot(self) -> None:
+        """Guards against an entry that is hidden by one that has gone."""
+        run_with_clock(self._shared_slot)
+
+    async def _shared_slot(self) -> None:
+        store = PollingMemoryStore()
+        hidden, hiding = (_directory(store, name) for name in _SHARING_IDS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hidden.run)
+            await trio.sleep(1)
+            scope = trio.CancelScope()
+            nursery.start_soon(_run_in, scope, hiding)
+            await trio.sleep(1)
+            scope.cancel()
+            await trio.sleep(60)
+            self.assertEqual(
+                [hidden.record.entry_id],
+                [peer.entry_id for peer in hidden.peers],
+            )
+            nursery.cancel_scope.cancel()
+
     async def _entries_find_each_other(self) -> None:
         store = PollingMemoryStore()
         directories = [_directory(store, name) for name in ('e1', 'e2')]
--- a/tests/cells/test_worker_routes.py
+++ b/tests/cells/test_worker_routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import cProfile
 import unittest
 from collections import Counter
 
@@ -20,6 +21,17 @@
     return routes
 
 
+def _calls_of_a_probe(lost_count: int) -> int:
+    """Return the number of calls that the choice of routes makes."""
+    routes = WorkerRoutes()
+    for number in range(lost_count):
+        worker_id = WorkerId(f'w{number}')
+        routes.record_failure(worker_id, DIRECT, now_s=_LOST_S)
+    profile = cProfile.Profile()
+    profile.runcall(routes.routes_to_probe, _W1, _PEERS, now_s=_LOST_S)
+    return sum(entry.callcount for entry in profile.getstats())
+
+
 class WorkerRoutesTests(unittest.TestCase):
     """Guards against a worker that is called by the wrong route."""
 
@@ -114,6 +126,38 @@
         self.assertTrue(routes.is_useful(_E2, now_s=_LOST_S + 1))
         self.assertTrue(routes.is_useful(_E1, now_s=_LOST_S + 20))
 
+    def test_entry_in_use(self) -> None:
+        """Guards against an entry in use that is dropped for other workers."""
+        routes = _lost_worker()
+        routes.record_answer(_W1, _E1, now_s=_LOST_S)
+        for number in range(2, 10):
+            crashed = WorkerId(f'w{number}')
+            routes.record_failure(crashed, DIRECT, now_s=_LOST_S + 0.1)
+            routes.record_failure(crashed, _E1, now_s=_LOST_S + 0.2)
+        self.assertEqual(_E1, routes.route_of(_W1))
+        self.assertTrue(routes.is_useful(_E1, now_s=_LOST_S + 0.3))
+
+    def test_path_holds_for_a_moment(self) -> None:
+        """Guards against waits for a path that begin anew after the longest."""
+        routes = WorkerRoutes()
+        changes_count = 0
+        for now_s in range(600):
+            if routes.route_of(_W1) is DIRECT:
+                routes.record_failure(_W1, DIRECT, now_s=now_s)
+                routes.record_answer(_W1, _E2, now_s=now_s)
+                changes_count += 1
+            elif routes.is_direct_due(_W1, now_s=now_s):
+                routes.record_answer(_W1, DIRECT, now_s=now_s)
+            else:
+                routes.record_answer(_W1, _E2, now_s=now_s)
+            routes.is_tracking(now_s=now_s)
+        self.assertLessEqual(changes_count, 45)
+
+    def test_many_lost_workers(self) -> None:
+        """Guards against a probe whose cost grows with the lost workers."""
+        few, many = (_calls_of_a_probe(count) for count in (10, 300))
+        self.assertLessEqual(many, few)
+
     def test_worker_is_gone(self) -> None:
         """Guards against connections that are kept for a removed worker."""
         routes = _lost_worker()
