Wait longer each time for a direct path that holds for a moment

A path counted as sound when its last failure was 10 s ago. With a wait of 16 s it was sound by waiting alone, so its failures were forgotten at the next answer and the waits began anew at 1 s: 85 changes of the route in 600 s in test_path_holds_for_a_moment, which failed before. Now a path is sound once it has answered for 10 s without a failure.

--- a/src/marjoramwharf/cells/worker_routes.py
+++ b/src/marjoramwharf/cells/worker_routes.py
@@ -52,26 +52,38 @@
 
 @dataclass(slots=True)
 class _Path:
-    """Failures of one path to one worker since it was last sound."""
+    """Failures of one path to one worker since it was last sound.
+
+    ``holds_since_s`` is the time of the first answer since the last failure.
+    """
 
     failures_count: int = 0
-    failed_s: float = 0
+    holds_since_s: float | None = None
     retry_s: float = 0
 
     def record_failure(self, now_s: float) -> None:
         """Put the next attempt off, longer with each failure."""
         delay_s = _FIRST_RETRY_S * 2**self.failures_count
         self.failures_count += 1
-        self.failed_s = now_s
+        self.holds_since_s = None
         self.retry_s = now_s + min(delay_s, _MAX_RETRY_S)
 
+    def record_answer(self, now_s: float) -> None:
+        """Allow the next attempt; forget the failures of a sound path."""
+        if self.holds_since_s is None:
+            self.holds_since_s = now_s
+        if self.is_sound(now_s):
+            self.failures_count = 0
+        self.retry_s = now_s
+
     def is_due(self, now_s: float) -> bool:
         """Whether the path may be tried."""
         return now_s >= self.retry_s
 
     def is_sound(self, now_s: float) -> bool:
-        """Whether the path has not failed for long."""
-        return now_s - self.failed_s > _SOUND_AFTER_S
+        """Whether the path has held for long."""
+        since_s = self.holds_since_s
+        return since_s is not None and now_s - since_s > _SOUND_AFTER_S
 
 
 @dataclass(slots=True)
@@ -179,10 +191,7 @@
         paths.used_s = now_s
         paths.route = route
         paths.is_lost = False
-        path = paths.path(route)
-        if path.is_sound(now_s):
-            path.failures_count = 0
-        path.retry_s = now_s
+        paths.path(route).record_answer(now_s)
 
     def record_failure(
         self, worker_id: WorkerId, route: Route, *, now_s: float
