--- a/src/marjoramwharf/cells/worker_routes.py
+++ b/src/marjoramwharf/cells/worker_routes.py
@@ -113,9 +113,14 @@
 
 @dataclass(slots=True)
 class WorkerRoutes:
-    """The routes of the workers whose direct path has failed lately."""
+    """The routes of the workers whose direct path has failed lately.
+
+    ``_counts`` holds the number of tracked workers by route, since each probe
+    of a lost worker reads it.
+    """
 
     _workers: dict[WorkerId, _WorkerPaths] = field(default_factory=dict)
+    _counts: Counter[Route] = field(default_factory=Counter)
     _peers: dict[EntryId, _PeerRecord] = field(default_factory=dict)
 
     def route_of(self, worker_id: WorkerId) -> Route:
@@ -123,10 +128,6 @@
         paths = self._workers.get(worker_id)
         return DIRECT if paths is None else paths.route
 
-    def route_counts(self) -> Counter[Route]:
-        """Return the number of tracked workers by route."""
-        return Counter(paths.route for paths in self._workers.values())
-
     def is_tracking(self, *, now_s: float) -> bool:
         """Whether other entries may be needed; forgets what is not used."""
         self._workers = {
@@ -134,6 +135,7 @@
             for worker_id, paths in self._workers.items()
             if not _is_settled(paths, now_s)
         }
+        self._counts = Counter(paths.route for paths in self._workers.values())
         return bool(self._workers)
 
     def is_direct_due(self, worker_id: WorkerId, *, now_s: float) -> bool:
@@ -189,6 +191,8 @@
         if paths is None:
             return
         paths.used_s = now_s
+        self._counts[paths.route] -= 1
+        self._counts[route] += 1
         paths.route = route
         paths.is_lost = False
         paths.path(route).record_answer(now_s)
@@ -197,7 +201,10 @@
         self, worker_id: WorkerId, route: Route, *, now_s: float
     ) -> None:
         """Record a poll or probe by a route that got no answer."""
-        paths = self._workers.setdefault(worker_id, _WorkerPaths())
+        paths = self._workers.get(worker_id)
+        if paths is None:
+            paths = self._workers[worker_id] = _WorkerPaths()
+            self._counts[paths.route] += 1
         paths.used_s = now_s
         paths.is_lost = paths.is_lost or route == paths.route
         paths.path(route).record_failure(now_s)
@@ -217,9 +224,8 @@
         self, cpu_shares: Mapping[EntryId, float]
     ) -> Mapping[EntryId, float]:
         """Return the workers of each entry per core."""
-        counts = self.route_counts()
         return {
-            entry_id: counts[entry_id] / max(cpu_share, _MIN_CPU_SHARE)
+            entry_id: self._counts[entry_id] / max(cpu_share, _MIN_CPU_SHARE)
             for entry_id, cpu_share in cpu_shares.items()
         }
 
