Keep the connections to entries that workers are reached through

An entry in use stays now, and doesn't take the place of those that are still to be tried; test_peers_in_use guards the latter.

--- a/src/marjoramwharf/cells/worker_routes.py
+++ b/src/marjoramwharf/cells/worker_routes.py
@@ -115,8 +115,8 @@
 class WorkerRoutes:
     """The routes of the workers whose direct path has failed lately.
 
-    ``_counts`` holds the number of tracked workers by route, since each probe
-    of a lost worker reads it.
+    ``_counts`` holds the number of tracked workers that are reached by each
+    route, since each probe of a lost worker reads it.
     """
 
     _workers: dict[WorkerId, _WorkerPaths] = field(default_factory=dict)
@@ -135,7 +135,9 @@
             for worker_id, paths in self._workers.items()
             if not _is_settled(paths, now_s)
         }
-        self._counts = Counter(paths.route for paths in self._workers.values())
+        self._counts = Counter(
+            paths.route for paths in self._workers.values() if not paths.is_lost
+        )
         return bool(self._workers)
 
     def is_direct_due(self, worker_id: WorkerId, *, now_s: float) -> bool:
@@ -191,7 +193,8 @@
         if paths is None:
             return
         paths.used_s = now_s
-        self._counts[paths.route] -= 1
+        if not paths.is_lost:
+            self._counts[paths.route] -= 1
         self._counts[route] += 1
         paths.route = route
         paths.is_lost = False
@@ -206,7 +209,9 @@
             paths = self._workers[worker_id] = _WorkerPaths()
             self._counts[paths.route] += 1
         paths.used_s = now_s
-        paths.is_lost = paths.is_lost or route == paths.route
+        if route == paths.route and not paths.is_lost:
+            paths.is_lost = True
+            self._counts[route] -= 1
         paths.path(route).record_failure(now_s)
         if route is not None:
             record = self._peers.setdefault(route, _PeerRecord())
@@ -215,8 +220,17 @@
                 record.failures_count = 0
                 record.avoided_until_s = now_s + _AVOID_S
 
+    def is_in_use(self, entry_id: EntryId) -> bool:
+        """Whether a worker is reached through an entry."""
+        return self._counts[entry_id] > 0
+
     def is_useful(self, entry_id: EntryId, *, now_s: float) -> bool:
-        """Whether an entry is worth a connection for calls to workers."""
+        """Whether an entry is worth a connection for calls to workers.
+
+        Workers that nobody reaches must not take it from those it serves.
+        """
+        if self.is_in_use(entry_id):
+            return True
         record = self._peers.get(entry_id)
         return record is None or now_s >= record.avoided_until_s
 
--- a/src/marjoramwharf/links/relay_peers.py
+++ b/src/marjoramwharf/links/relay_peers.py
@@ -46,6 +46,11 @@
     return True
 
 
+def _use_none(_peer: PeerAddress) -> bool:
+    """Count no peer as in use."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class _PeerConnection:
     client: PeerClient
@@ -59,9 +64,11 @@
 
 @dataclass(slots=True)
 class RelayPeers:
-    """Keeps connections to at most ``size`` peers while ``is_wanted()``.
+    """Keeps connections to a few peers while ``is_wanted()``.
 
-    A peer that ``is_admitted`` no longer admits is replaced by another one.
+    They are at most ``size`` beside those that are in use, so that others can
+    be tried. A peer that ``is_admitted`` no longer admits is replaced by
+    another one.
     """
 
     peers: PeerSource
@@ -69,6 +76,7 @@
     is_wanted: Callable[[], bool]
     size: int
     is_admitted: Callable[[PeerAddress], bool] = _admit_all
+    is_in_use: Callable[[PeerAddress], bool] = _use_none
     rng: random.Random = field(default_factory=random.Random)
     _connections: dict[PeerAddress, _PeerConnection] = field(
         default_factory=dict
@@ -131,7 +139,10 @@
             peer for peer in self._connections if not self.is_admitted(peer)
         ]
         self._close(not_admitted[: len(candidates)])
-        for peer in candidates[: self.size - len(self._connections)]:
+        tried_count = sum(
+            not self.is_in_use(peer) for peer in self._connections
+        )
+        for peer in candidates[: max(0, self.size - tried_count)]:
             connection = _PeerConnection(self._make_client(peer), now_s)
             self._connections[peer] = connection
             nursery.start_soon(connection.run)
--- a/src/marjoramwharf/programs/_worker_paths.py
+++ b/src/marjoramwharf/programs/_worker_paths.py
@@ -19,8 +19,9 @@
 from marjoramwharf.links.relay_peers import PeerAddress, PeerSource, RelayPeers
 from marjoramwharf.platform.worker_client import PlatformWorkerClient
 
-# Entries that a cell's owner is connected to while it has lost workers.
-_RELAYING_PEERS_COUNT = 4
+# Entries that a cell's owner is connected to while it has lost workers, beside
+# those through which it reaches some.
+_TRIED_PEERS_COUNT = 4
 
 
 @dataclass(slots=True)
@@ -44,8 +45,9 @@
             self.peers,
             self.identity,
             self._has_lost_workers,
-            size=_RELAYING_PEERS_COUNT,
+            size=_TRIED_PEERS_COUNT,
             is_admitted=self._is_useful,
+            is_in_use=lambda peer: self.routes.is_in_use(peer.entry_id),
         )
 
     def begin_tenure(self) -> RoutedWorkerClient:
--- a/tests/links/test_relay_peers.py
+++ b/tests/links/test_relay_peers.py
@@ -32,6 +32,7 @@
 
     addresses: list[PeerAddress] = field(default_factory=list)
     refused: set[EntryId] = field(default_factory=set)
+    used: set[EntryId] = field(default_factory=set)
     is_wanted: bool = True
     relay_peers: RelayPeers = field(init=False)
 
@@ -43,6 +44,7 @@
             lambda: self.is_wanted,
             size=_SIZE,
             is_admitted=lambda peer: peer.entry_id not in self.refused,
+            is_in_use=lambda peer: peer.entry_id in self.used,
             rng=random.Random(1),
         )
 
@@ -88,6 +90,10 @@
         """Guards against an entry without peers while all are useless."""
         trio.run(self._all_are_useless)
 
+    def test_peers_in_use(self) -> None:
+        """Guards against peers in use that keep others from being tried."""
+        trio.run(self._peers_in_use)
+
     def test_not_wanted(self) -> None:
         """Guards against connections of entries that need none."""
         trio.run(self._not_wanted)
@@ -110,6 +116,14 @@
             await trio.sleep(1)
             self.assertEqual(first_ids, peers.connected_ids())
 
+    async def _peers_in_use(self) -> None:
+        async with _serving_peers() as peers:
+            await trio.sleep(0.5)
+            peers.used.update(peers.connected_ids())
+            await peers.wait_connected(
+                {peer.entry_id for peer in peers.addresses[1:]}
+            )
+
     async def _not_wanted(self) -> None:
         async with _serving_peers() as peers:
             peers.is_wanted = False
