--- a/src/marjoramwharf/cells/worker_routes.py
+++ b/src/marjoramwharf/cells/worker_routes.py
@@ -206,7 +206,8 @@
         """Record a poll or probe by a route that got no answer."""
         paths = self._workers.get(worker_id)
         if paths is None:
-            paths = self._workers[worker_id] = _WorkerPaths()
+            paths = _WorkerPaths()
+            self._workers[worker_id] = paths
             self._counts[paths.route] += 1
         paths.used_s = now_s
         if route == paths.route and not paths.is_lost:
