List an entry again whose slot another one has left

Of two entries with the same slot the later one took it. When that one had gone, the other one went on renewing its lease, which holds no record any more, and stayed unlisted for good. An entry that reads no record in its slot writes its own again.

--- a/src/marjoramwharf/cells/entry_directory.py
+++ b/src/marjoramwharf/cells/entry_directory.py
@@ -3,7 +3,7 @@
 Every entry keeps a leased record of itself and periodically reads the records
 of the others. The records share a fixed number of slots, so that the cost of
 a read doesn't grow with the number of entries. Of two entries with the same
-slot only one is found, which does no harm since any few peers are enough.
+slot only one is found; the other one takes the slot when that one has gone.
 """
 
 from __future__ import annotations
@@ -50,6 +50,12 @@
     peers: tuple[PeerAddress, ...] = ()
     _lease: LeaseId | None = field(default=None)
 
+    @property
+    def _key(self) -> str:
+        """The key of the slot of this entry."""
+        slot = zlib.crc32(self.record.entry_id.encode()) % _RECORD_SLOTS_COUNT
+        return entry_key(slot)
+
     async def run(self) -> None:
         """Renew the record and read those of the peers until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -73,8 +79,7 @@
                 return
             self._lease = None
         lease = await self.store.grant_lease(_RECORD_TTL_MS)
-        slot = zlib.crc32(self.record.entry_id.encode()) % _RECORD_SLOTS_COUNT
-        write = Write(entry_key(slot), encode(self.record), lease)
+        write = Write(self._key, encode(self.record), lease)
         await self.store.commit([], [write])
         self._lease = lease
 
@@ -84,6 +89,8 @@
         except Failure as failure:
             _LOG.info('entry records not read', error=str(failure))
             return
+        if all(stored.key != self._key for stored in result.found):
+            self._lease = None
         decoded = (_decode_peer(stored) for stored in result.found)
         self.peers = tuple(peer for peer in decoded if peer is not None)
 
