--- a/src/marjoramwharf/cells/worker_routes.py
+++ b/src/marjoramwharf/cells/worker_routes.py
@@ -52,26 +52,38 @@
 
 @dataclass(slots=True)
 class _Path:
-    """Failures of one path to one worker since it was last sound."""
+    """Failures of one path to one worker since it was last sound.
+
+    ``holds_since_s`` is the time of the first answer since the last failure.
+    """
 
     failures_count: int = 0
-    failed_s: float = 0
+    holds_since_s: float | None = None
     retry_s: float = 0
 
     def record_failure(self, now_s: float) -> None:
         """Put the next attempt off, longer with each failure."""
         delay_s = _FIRST_RETRY_S * 2**self.failures_count
         self.failures_count += 1
-        self.failed_s = now_s
+        self.holds_since_s = None
         self.retry_s = now_s + min(delay_s, _MAX_RETRY_S)
 
+    def record_answer(self, now_s: float) -> None:
+        """Allow the next attempt; forget the failures of a sound path."""
+        if self.holds_since_s is None:
+            self.holds_since_s = now_s
+        if self.is_sound(now_s):
+            self.failures_count = 0
+        self.retry_s = now_s
+
     def is_due(self, now_s: float) -> bool:
         """Whether the path may be tried."""
         return now_s >= self.retry_s
 
     def is_sound(self, now_s: float) -> bool:
-        """Whether the path has not failed for long."""
-        return now_s - self.failed_s > _SOUND_AFTER_S
+        """Whether the path has held for long."""
+        since_s = self.holds_since_s
+        return since_s is not None and now_s - since_s > _SOUND_AFTER_S
 
 
 @dataclass(slots=True)
@@ -101,9 +113,14 @@
 
 @dataclass(slots=True)
 class WorkerRoutes:
-    """The routes of the workers whose direct path has failed lately."""
+    """The routes of the workers whose direct path has failed lately.
+
+    ``_counts`` holds the number of tracked workers that are reached by each
+    route, since each probe of a lost worker reads it.
+    """
 
     _workers: dict[WorkerId, _WorkerPaths] = field(default_factory=dict)
+    _counts: Counter[Route] = field(default_factory=Counter)
     _peers: dict[EntryId, _PeerRecord] = field(default_factory=dict)
 
     def route_of(self, worker_id: WorkerId) -> Route:
@@ -113,14 +130,8 @@
 
     @property
     def relayed_count(self) -> int:
-        """The number of workers that are called through other entries."""
-        return sum(
-            paths.route is not DIRECT for paths in self._workers.values()
-        )
-
-    def route_counts(self) -> Counter[Route]:
-        """Return the number of tracked workers by route."""
-        return Counter(paths.route for paths in self._workers.values())
+        """The number of workers that are reached through other entries."""
+        return self._counts.total() - self._counts[DIRECT]
 
     def is_tracking(self, *, now_s: float) -> bool:
         """Whether other entries may be needed; forgets what is not used."""
@@ -129,6 +140,9 @@
             for worker_id, paths in self._workers.items()
             if not _is_settled(paths, now_s)
         }
+        self._counts = Counter(
+            paths.route for paths in self._workers.values() if not paths.is_lost
+        )
         return bool(self._workers)
 
     def is_direct_due(self, worker_id: WorkerId, *, now_s: float) -> bool:
@@ -184,20 +198,26 @@
         if paths is None:
             return
         paths.used_s = now_s
+        if not paths.is_lost:
+            self._counts[paths.route] -= 1
+        self._counts[route] += 1
         paths.route = route
         paths.is_lost = False
-        path = paths.path(route)
-        if path.is_sound(now_s):
-            path.failures_count = 0
-        path.retry_s = now_s
+        paths.path(route).record_answer(now_s)
 
     def record_failure(
         self, worker_id: WorkerId, route: Route, *, now_s: float
     ) -> None:
         """Record a poll or probe by a route that got no answer."""
-        paths = self._workers.setdefault(worker_id, _WorkerPaths())
+        paths = self._workers.get(worker_id)
+        if paths is None:
+            paths = _WorkerPaths()
+            self._workers[worker_id] = paths
+            self._counts[paths.route] += 1
         paths.used_s = now_s
-        paths.is_lost = paths.is_lost or route == paths.route
+        if route == paths.route and not paths.is_lost:
+            paths.is_lost = True
+            self._counts[route] -= 1
         paths.path(route).record_failure(now_s)
         if route is not None:
             record = self._peers.setdefault(route, _PeerRecord())
@@ -206,8 +226,17 @@
                 record.failures_count = 0
                 record.avoided_until_s = now_s + _AVOID_S
 
+    def is_in_use(self, entry_id: EntryId) -> bool:
+        """Whether a worker is reached through an entry."""
+        return self._counts[entry_id] > 0
+
     def is_useful(self, entry_id: EntryId, *, now_s: float) -> bool:
-        """Whether an entry is worth a connection for calls to workers."""
+        """Whether an entry is worth a connection for calls to workers.
+
+        Workers that nobody reaches must not take it from those it serves.
+        """
+        if self.is_in_use(entry_id):
+            return True
         record = self._peers.get(entry_id)
         return record is None or now_s >= record.avoided_until_s
 
@@ -215,9 +244,8 @@
         self, cpu_shares: Mapping[EntryId, float]
     ) -> Mapping[EntryId, float]:
         """Return the workers of each entry per core."""
-        counts = self.route_counts()
         return {
-            entry_id: counts[entry_id] / max(cpu_share, _MIN_CPU_SHARE)
+            entry_id: self._counts[entry_id] / max(cpu_share, _MIN_CPU_SHARE)
             for entry_id, cpu_share in cpu_shares.items()
         }
 
