--- a/src/marjoramwharf/cells/owner_link.py
+++ b/src/marjoramwharf/cells/owner_link.py
@@ -12,7 +12,7 @@
 
 from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.job_status import PublicJobState, StatusAnswer
-from marjoramwharf.cells.ownership import CurrentOwner, OwnerView
+from marjoramwharf.cells.owner_view import CurrentOwner, OwnerView
 from marjoramwharf.cells.records import CellId, decode, encode
 from marjoramwharf.errors import NotOwner, PeerRefused, PeerUnreachable
 from marjoramwharf.ids import JobId
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -15,17 +15,15 @@
 from msgspec import structs
 
 from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.records import (
     CellId,
     EntryRecord,
-    decode,
     encode,
     owner_key,
-    parse_owner_key,
 )
 from marjoramwharf.errors import (
     Failure,
-    JournalDamaged,
     NotOwner,
     StoreAnswerLost,
 )
@@ -35,8 +33,6 @@
     Committed,
     Guard,
     PollingStore,
-    StoreEvent,
-    WatchBatch,
     Write,
 )
 from marjoramwharf.logs import part_logger
@@ -69,84 +65,6 @@
 _RENEWAL_RETRY_PAUSE_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class CurrentOwner:
-    """The owner of a cell and the revision of its record in the store."""
-
-    record: EntryRecord
-    revision: int
-
-
-@dataclass(slots=True)
-class OwnerView:
-    """Local copy of the owner records of all cells, updated by a watch.
-
-    ``ended_revisions`` holds the revision of each record whose owner's process
-    appears to have ended. It is a hint that only starts a campaign early. Once
-    such a process has written another record, it was alive, and the path to it
-    refuses connections; this entry follows no further hint then.
-    ``is_loaded`` is true once the records have been read.
-    """
-
-    owners: dict[CellId, CurrentOwner] = field(default_factory=dict)
-    ended_revisions: dict[CellId, int] = field(default_factory=dict)
-    is_loaded: bool = False
-    is_misled: bool = False
-    _ended_processes: dict[str, int] = field(default_factory=dict)
-    _change_event: trio.Event = field(default_factory=trio.Event)
-
-    async def apply(self, batch: WatchBatch) -> None:
-        """Apply watch events of the owners' records."""
-        if batch.restarted:
-            self.owners.clear()
-        for event in batch.events:
-            try:
-                self._apply_event(event)
-            except JournalDamaged as failure:
-                _LOG.error('owner record ignored', error=str(failure))
-        self.is_loaded = True
-        self._notify_waiters()
-
-    def mark_owner_ended(self, owner: CurrentOwner) -> None:
-        """Record that the process of an owner appears to have ended."""
-        if self.is_misled:
-            return
-        for cell, listed_owner in self.owners.items():
-            if listed_owner == owner and cell not in self.ended_revisions:
-                _LOG.warning('owner process ended', owner=owner.record.entry_id)
-                self.ended_revisions[cell] = owner.revision
-                self._ended_processes[owner.record.secret] = owner.revision
-                self._notify_waiters()
-
-    async def wait_change(self) -> None:
-        """Wait for the next change of the owners."""
-        await self._change_event.wait()
-
-    def _apply_event(self, event: StoreEvent) -> None:
-        """Apply one event; raises ``JournalDamaged``."""
-        cell = parse_owner_key(event.key)
-        self.ended_revisions.pop(cell, None)
-        if event.stored is None:
-            self.owners.pop(cell, None)
-            return
-        record = decode(event.stored.body, EntryRecord, key=event.key)
-        owner = CurrentOwner(record, event.stored.mod_revision)
-        self.owners[cell] = owner
-        self._detect_living(owner)
-
-    def _detect_living(self, owner: CurrentOwner) -> None:
-        """Detect a record of a process that appeared to have ended before."""
-        process = owner.record.secret
-        ended_revision = self._ended_processes.get(process, owner.revision)
-        if owner.revision > ended_revision and not self.is_misled:
-            _LOG.warning('owner had not ended', owner=owner.record.entry_id)
-            self.is_misled = True
-
-    def _notify_waiters(self) -> None:
-        self._change_event.set()
-        self._change_event = trio.Event()
-
-
 @dataclass(slots=True)
 class Tenure:
     """One period of ownership of a cell.
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -20,7 +20,8 @@
 from marjoramwharf.cells.instance_settings import InstanceSettings
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.owner_link import OwnerLink, answer_job_call
-from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
+from marjoramwharf.cells.owner_view import OwnerView
+from marjoramwharf.cells.ownership import Campaign, Tenure
 from marjoramwharf.cells.records import OWNERS_PREFIX, CellId, EntryRecord
 from marjoramwharf.cells.worker_relay import WORKER_METHOD
 from marjoramwharf.errors import BadSettings
--- a/tests/cells/candidate.py
+++ b/tests/cells/candidate.py
@@ -10,7 +10,8 @@
 from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.evacuations import Evacuations
-from marjoramwharf.cells.ownership import Campaign, OwnerView
+from marjoramwharf.cells.owner_view import OwnerView
+from marjoramwharf.cells.ownership import Campaign
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.platform.evacuation_requests import evacuated_data_centre
 from standins.frozen_process import FreezeGate
--- a/tests/cells/test_intake.py
+++ b/tests/cells/test_intake.py
@@ -16,7 +16,7 @@
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.job_status import PublicJobState, StatusAnswer
 from marjoramwharf.cells.owner_link import OwnerLink
-from marjoramwharf.cells.ownership import OwnerView
+from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.records import (
     CellId,
     ProgressRecord,
--- a/tests/cells/test_malformed_records.py
+++ b/tests/cells/test_malformed_records.py
@@ -10,7 +10,7 @@
 
 from marjoramwharf.cells.entry_directory import EntryDirectory
 from marjoramwharf.cells.job_status import PublicJobState
-from marjoramwharf.cells.ownership import OwnerView
+from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.records import (
     CellId,
     EntryRecord,
--- a/tests/cells/test_owner_link.py
+++ b/tests/cells/test_owner_link.py
@@ -11,7 +11,7 @@
 import trio
 
 from marjoramwharf.cells.owner_link import OwnerLink
-from marjoramwharf.cells.ownership import CurrentOwner, OwnerView
+from marjoramwharf.cells.owner_view import CurrentOwner, OwnerView
 from marjoramwharf.cells.records import EntryRecord
 from marjoramwharf.ids import DataCentreId, EntryId, Incarnation
 from marjoramwharf.links.http_server import open_listener
--- a/tests/cells/test_ownership.py
+++ b/tests/cells/test_ownership.py
@@ -8,7 +8,8 @@
 import trio
 from trio.testing import wait_all_tasks_blocked
 
-from marjoramwharf.cells.ownership import Campaign, OwnerView, Tenure
+from marjoramwharf.cells.owner_view import OwnerView
+from marjoramwharf.cells.ownership import Campaign, Tenure
 from marjoramwharf.cells.records import EntryRecord, encode, owner_key
 from marjoramwharf.ids import LeaseId
 from marjoramwharf.links.store import StoredValue, StoreEvent, WatchBatch
--- a/tests/platform/test_unanswered_writes.py
+++ b/tests/platform/test_unanswered_writes.py
@@ -10,7 +10,7 @@
 
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.owner_link import OwnerLink
-from marjoramwharf.cells.ownership import OwnerView
+from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.records import owner_key
 from marjoramwharf.cells.submission_outcome import SubmissionOutcome
