Give the cell up wherever its owner reaches less than half of the workers

Found by the review: an owner that reaches no worker kept its cell if it could connect to one other entry, though that one reached none either; and an isolated owner that reaches a third of the workers kept it, with the room of the others free.

Change: an owner that reaches less than half of the listed workers by any route, and no more as time goes on, gives the cell up after 8 s, or 2 s if it reaches no entry. Where nobody reaches more, the cell would change its owner without end, so the time doubles with each change of the owner that all entries have seen in the last 2 min; the growing pause of the single entry, which did that less well, goes. A takeover of many workers isn't cut short, since the time begins anew whenever more workers are reached.

--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -35,8 +35,9 @@
     raises ``BadListing`` if they name no worker. ``hold_ms`` is the length of
     the leases of runs. No run starts in the ``evacuated`` data centres, a view
     that follows the operators' requests. ``has_other_entries`` tells whether
-    other entries are known, and ``is_isolated`` whether this one has tried to
-    reach them and reaches none.
+    other entries are known, ``is_isolated`` whether this one has tried to reach
+    them and reaches none, and ``owner_changes_count`` how often the cell has
+    changed its owner lately.
     """
 
     store: PollingStore
@@ -51,6 +52,7 @@
     evacuated: AbstractSet[DataCentreId] = frozenset()
     has_other_entries: Callable[[], bool] = _never
     is_isolated: Callable[[], bool] = _never
+    owner_changes_count: Callable[[], int] = int
 
     @property
     def longest_lease_s(self) -> float:
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -55,8 +55,9 @@
 
     def _must_give_way(self, now_s: float) -> bool:
         """Whether an entry that reaches more, or is faster, may serve better."""
-        is_too_slow = self.lag.is_too_slow(now_s=now_s)
-        if is_too_slow and self.context.has_other_entries():
+        if not self.context.has_other_entries():
+            return False
+        if self.lag.is_too_slow(now_s=now_s):
             _LOG.warning(
                 'owner too slow', lag_s=round(self.lag.median_s(now_s=now_s), 3)
             )
@@ -64,6 +65,7 @@
         return self._reach.must_give_way(
             self.worker_registry.fleet,
             is_isolated=self.context.is_isolated(),
+            changes_count=self.context.owner_changes_count(),
             now_s=now_s,
         )
 
--- a/src/marjoramwharf/cells/owner_reach.py
+++ b/src/marjoramwharf/cells/owner_reach.py
@@ -1,8 +1,8 @@
-"""Judges whether the owner of a cell still reaches what it needs.
+"""Judges whether the owner of a cell still reaches enough workers.
 
 An owner that has lost the path to its workers calls them through other entries.
-One that reaches no entry either can only keep its lease at the store alive, so
-it gives the cell up to an entry that may reach more.
+If it reaches most of them in neither way, it can do little but keep its lease
+at the store alive, so it gives the cell up to an entry that may reach more.
 """
 
 from __future__ import annotations
@@ -11,38 +11,47 @@
 
 from marjoramwharf.scheduling.fleet import Fleet, WorkerState
 
-# An owner that reaches less than this share of the listed workers, and no other
-# entry, for this long gives the cell up.
-_MIN_REACHED_SHARE = 0.25
-_PATIENCE_S = 2.0
+# An owner that reaches less than this share of the listed workers, and no more
+# of them as time goes on, gives the cell up after a while: soon if it reaches no
+# other entry either, and later with each recent change of the owner.
+_MIN_REACHED_SHARE = 0.5
+_PATIENCE_S = 8.0
+_ISOLATED_PATIENCE_S = 2.0
 
 
 @dataclass(slots=True)
 class OwnerReach:
-    """How long the owner has reached too little."""
+    """How many workers the owner reaches, and since when these are too few."""
 
-    _cut_off_since_s: float | None = None
+    _reached_count: int = 0
+    _too_few_since_s: float | None = None
 
     def must_give_way(
-        self, fleet: Fleet, *, is_isolated: bool, now_s: float
+        self,
+        fleet: Fleet,
+        *,
+        is_isolated: bool,
+        changes_count: int,
+        now_s: float,
     ) -> bool:
         """Whether the owner should give the cell up.
 
-        An owner that ``is_isolated`` reaches no other entry.
+        An owner that ``is_isolated`` reaches no other entry. The owner has
+        changed ``changes_count`` times lately.
         """
-        if not is_isolated or _reaches_enough(fleet):
-            self._cut_off_since_s = None
+        listed = [
+            worker
+            for worker in fleet.workers.values()
+            if worker.listing.state is not WorkerState.GONE
+        ]
+        reached_count = sum(worker.is_reachable for worker in listed)
+        is_more = reached_count > self._reached_count
+        self._reached_count = reached_count
+        if reached_count >= _MIN_REACHED_SHARE * len(listed):
+            self._too_few_since_s = None
             return False
-        if self._cut_off_since_s is None:
-            self._cut_off_since_s = now_s
-        return now_s - self._cut_off_since_s >= _PATIENCE_S
-
-
-def _reaches_enough(fleet: Fleet) -> bool:
-    listed = [
-        worker
-        for worker in fleet.workers.values()
-        if worker.listing.state is not WorkerState.GONE
-    ]
-    reached_count = sum(worker.is_reachable for worker in listed)
-    return reached_count >= _MIN_REACHED_SHARE * len(listed)
+        if is_more or self._too_few_since_s is None:
+            self._too_few_since_s = now_s
+        patience_s = _ISOLATED_PATIENCE_S if is_isolated else _PATIENCE_S
+        patience_s *= 2.0**changes_count
+        return now_s - self._too_few_since_s >= patience_s
--- a/src/marjoramwharf/cells/owner_view.py
+++ b/src/marjoramwharf/cells/owner_view.py
@@ -1,11 +1,17 @@
-"""This entry's view of the owners of cells, as their records in the store show."""
+"""This entry's view of the owners of cells, as their records in the store show.
+
+A change of the owner is counted, so that entries which take the ownership from
+each other in vain do it less and less often.
+"""
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 
 import trio
 
+from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.records import (
     CellId,
     EntryRecord,
@@ -18,6 +24,10 @@
 
 _LOG = part_logger('owner')
 
+# Changes of an owner count for this long, and so many at most.
+_CHANGES_WINDOW_S = 120.0
+_MAX_CHANGES_COUNT = 8
+
 
 @dataclass(frozen=True, slots=True)
 class CurrentOwner:
@@ -43,6 +53,8 @@
     is_loaded: bool = False
     is_misled: bool = False
     _ended_processes: dict[str, int] = field(default_factory=dict)
+    _former_owners: dict[CellId, CurrentOwner] = field(default_factory=dict)
+    _changes_s: dict[CellId, deque[float]] = field(default_factory=dict)
     _change_event: trio.Event = field(default_factory=trio.Event)
 
     async def apply(self, batch: WatchBatch) -> None:
@@ -68,6 +80,11 @@
                 self._ended_processes[owner.record.secret] = owner.revision
                 self._notify_waiters()
 
+    def changes_count(self, cell: CellId, *, now_s: float) -> int:
+        """Return how often a cell has changed its owner lately."""
+        changes_s = self._changes_s.get(cell, ())
+        return sum(now_s - at_s < _CHANGES_WINDOW_S for at_s in changes_s)
+
     async def wait_change(self) -> None:
         """Wait for the next change of the owners."""
         await self._change_event.wait()
@@ -83,6 +100,7 @@
         owner = CurrentOwner(record, event.stored.mod_revision)
         self.owners[cell] = owner
         self._detect_living(owner)
+        self._count_change(cell, owner)
 
     def _detect_living(self, owner: CurrentOwner) -> None:
         """Detect a record of a process that appeared to have ended before."""
@@ -92,6 +110,16 @@
             _LOG.warning('owner had not ended', owner=owner.record.entry_id)
             self.is_misled = True
 
+    def _count_change(self, cell: CellId, owner: CurrentOwner) -> None:
+        """Count an owner that follows another one; both may be one process."""
+        former = self._former_owners.get(cell)
+        self._former_owners[cell] = owner
+        if former is not None and former.revision != owner.revision:
+            changes_s = self._changes_s.setdefault(
+                cell, deque(maxlen=_MAX_CHANGES_COUNT)
+            )
+            changes_s.append(boot_s())
+
     def _notify_waiters(self) -> None:
         self._change_event.set()
         self._change_event = trio.Event()
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -57,11 +57,8 @@
 _FAILED_PAUSE_S = 1.0
 _RENEWALS_PER_TTL = 4
 
-# An entry that gave way campaigns again after this time, doubled each time it
-# gives way once more within ``_GAVE_WAY_LATELY_S``.
+# An entry that gave way leaves the campaign to the others for this long.
 _GIVE_WAY_PAUSE_S = 3.0
-_MAX_GIVE_WAY_PAUSE_S = 30.0
-_GAVE_WAY_LATELY_S = 60.0
 _RENEWAL_RETRY_PAUSE_S = 0.1
 
 
@@ -121,7 +118,6 @@
     tenure: Tenure | None = None
     has_resigned: bool = False
     _gives_way_until_s: float = 0
-    _give_way_pause_s: float = _GIVE_WAY_PAUSE_S
 
     async def run(self) -> None:
         """Campaign and run the cell during each tenure, until cancelled."""
@@ -157,12 +153,8 @@
 
     def give_way(self, *, now_s: float) -> None:
         """End the current tenure, and let other entries campaign first."""
-        pause_s = _GIVE_WAY_PAUSE_S
-        if now_s - self._gives_way_until_s < _GAVE_WAY_LATELY_S:
-            pause_s = min(2 * self._give_way_pause_s, _MAX_GIVE_WAY_PAUSE_S)
-        self._give_way_pause_s = pause_s
-        self._gives_way_until_s = now_s + pause_s
-        _LOG.warning('giving way', cell=self.cell, pause_s=pause_s)
+        self._gives_way_until_s = now_s + _GIVE_WAY_PAUSE_S
+        _LOG.warning('giving way', cell=self.cell)
         if self.tenure is not None:
             self.tenure.scope.cancel()
 
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -258,6 +258,9 @@
                 evacuated=self.operators.evacuations.data_centres,
                 has_other_entries=self.worker_paths.has_other_entries,
                 is_isolated=self.worker_paths.is_isolated,
+                owner_changes_count=lambda: self.view.changes_count(
+                    tenure.cell, now_s=boot_s()
+                ),
             ),
         )
         self.cell = cell
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -22,7 +22,7 @@
 from marjoramwharf.cells.maintenance import Maintenance
 from marjoramwharf.cells.owner_lag import OwnerLag
 from marjoramwharf.cells.owner_reach import OwnerReach
-from marjoramwharf.cells.ownership import Campaign
+from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.report_processor import ReportProcessor
@@ -148,6 +148,10 @@
     return False
 
 
+def _none(*_args: object, **_named: object) -> int:
+    return 0
+
+
 def _direct_only(*_args: object, **_named: object) -> tuple[Route]:
     return (DIRECT,)
 
@@ -240,11 +244,14 @@
     'a slow owner gives way': lambda: patch.object(
         OwnerLag, 'is_too_slow', _never
     ),
-    'an owner that reaches some gives no way': lambda: patch(
-        f'{OwnerReach.__module__}._reaches_enough', _never
+    'an owner that reaches most gives no way': lambda: patch(
+        f'{OwnerReach.__module__}._MIN_REACHED_SHARE', 2
+    ),
+    'an owner that reaches more and more gives no way': lambda: patch(
+        f'{OwnerReach.__module__}._PATIENCE_S', 0
     ),
-    'owners that reach nobody give way later each time': lambda: patch(
-        f'{Campaign.__module__}._MAX_GIVE_WAY_PAUSE_S', 0
+    'owners that reach nobody give way later each time': lambda: patch.object(
+        OwnerView, 'changes_count', _none
     ),
     'a job that cannot be scheduled hides no other': lambda: patch.object(
         Inbox, '_left_out_on_error', nullcontext
--- a/tests/cells/test_calls_through_entries.py
+++ b/tests/cells/test_calls_through_entries.py
@@ -56,6 +56,10 @@
         """Guards against a sound owner that gives its cell up."""
         run_with_clock(self._owner_reaches_no_entry)
 
+    def test_paths_are_found_one_by_one(self) -> None:
+        """Guards against an owner that gives way while it reaches more."""
+        run_with_clock(self._paths_are_found_one_by_one)
+
     def test_nobody_reaches_workers(self) -> None:
         """Guards against owners that give a cell to each other in turn."""
         run_with_clock(self._nobody_reaches_workers)
@@ -152,6 +156,20 @@
             self.assertIsNotNone(owner.cell)
             self.assertEqual(1, owner.tenures_count)
 
+    async def _paths_are_found_one_by_one(self) -> None:
+        names = [f'w{number}' for number in range(8)]
+        async with open_cluster(names) as (cluster, nursery):
+            owner = (await _spawn_three(cluster, nursery))[0]
+            for entry in cluster.candidates:
+                _cut_off(entry, cluster)
+            await trio.sleep(6)
+            for name in names:
+                for entry in cluster.candidates:
+                    entry.unreachable.discard(WorkerId(name))
+                await trio.sleep(5)
+            self.assertEqual(1, owner.tenures_count)
+            self.assertIsNotNone(owner.cell)
+
     async def _nobody_reaches_workers(self) -> None:
         async with open_cluster() as (cluster, nursery):
             entries = await _spawn_three(cluster, nursery)
