--- a/src/marjoramwharf/links/peer_server.py
+++ b/src/marjoramwharf/links/peer_server.py
@@ -43,7 +43,7 @@
 
 # Concurrent calls of one peer; further frames wait in the connection. A peer
 # may poll all workers through this entry, one call for each.
-_MAX_CONCURRENT_CALLS = 512
+_MAX_CONCURRENT_CALLS = 2_048
 
 
 class PeerServer:
