Take a tail that is read as equal to its target for over it

Suspected cause: readings are whole milliseconds, so a tail of up to half a millisecond over the target is read as equal to it and counted as low.

Change: equal counts as over. test_reading_rounded_to_the_target failed before (no pause after 8 s at the target) and passes.

--- a/src/marjoramwharf/scheduling/pacing.py
+++ b/src/marjoramwharf/scheduling/pacing.py
@@ -80,11 +80,12 @@
 
     def _longest_over_target_s(self, now_s: float) -> float:
         """Return how long, in s, a tail may have been over its target."""
-        # A tail may have risen right after the last poll that found it low.
+        # A tail may have risen right after the last poll that found it low, and
+        # one that is read as equal to its target may have been rounded down.
         self._over_target_since_s = {
             run: self._over_target_since_s.get(run, self._decided_s)
             for run in running_runs(self.worker.serving_runs())
-            if run.reading and measured_headroom(run) < 1
+            if run.reading and measured_headroom(run) <= 1
         }
         self._decided_s = now_s
         return now_s - min(self._over_target_since_s.values(), default=now_s)
--- a/tests/scheduling/test_pacing.py
+++ b/tests/scheduling/test_pacing.py
@@ -46,6 +46,15 @@
         self.assertTrue(self.worker.is_filling_paused)
         self.assertFalse(self.worker.has_resources_for(self.filling.step))
 
+    def test_reading_rounded_to_the_target(self) -> None:
+        """Guards against a tail over its target that is read as equal to it."""
+        for number in range(20):
+            paces = self._poll(18, now_s=1 + number * 0.4)
+            if paces.get(self.filling) == 0:
+                break
+        self.assertEqual(0, paces.get(self.filling))
+        self.assertLessEqual(1 + number * 0.4, _MAX_OVER_S - 0.6)
+
     def test_no_pause_for_a_short_peak(self) -> None:
         """Guards against filling runs that are paused for one high reading."""
         self._poll(18 * 3, now_s=1)
