--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -18,8 +18,6 @@
     OrderOutcome,
     WorkerAddress,
 )
-from marjoramwharf.ids import WorkerId
-from standins.simulated_worker import SimulatedWorker
 from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
     CELL,
@@ -29,72 +27,29 @@
     run_with_clock,
     step,
 )
-
-_RESTARTED = WorkerId('w1')
-_LONG = job_request('long', payload='ms=60000')
-
-_FORMER_LIFE_S = 30
-
-# The poll that was under way at a restart times out soon after this.
-_ALMOST_NOTICED_S = 2.5
+from tests.cells.restarts import (
+    LISTED_S,
+    ALMOST_NOTICED_S,
+    CLOCK_LEAD_MS,
+    LONG,
+    RESTARTED,
+    elect,
+    finish_early_job,
+    finish_job_once,
+    restart_in_the_dark,
+    start_long_task,
+)
 
 _LATE_ORDER_DELAY_S = 2
 _LISTING_DELAY_S = 0.8
 _LATE_ANSWER_DELAY_S = 0.9
 
-# A listing is read within this time, and a poll under way waits for longer.
-_LISTED_S = 0.6
-
 # How long a worker has lived when it restarts, and the time after which the
 # leases in all orders to it have ended.
 _YOUNG_S = 2
 _LEASES_ENDED_S = 10
 _LATE_ORIGIN_MS = 17_000
 
-_CLOCK_LEAD_MS = 3_000
-
-
-async def _elect(cluster: Cluster, nursery: trio.Nursery) -> Candidate:
-    """Spawn an entry; return it once the worker's clock is far from 0."""
-    owner = cluster.spawn(nursery, 'e1')
-    await cluster.wait_until(lambda: owner.cell is not None)
-    await trio.sleep(_FORMER_LIFE_S)
-    return owner
-
-
-async def _finish_early_job(cluster: Cluster) -> None:
-    """Run a job of some tasks; return just after the owner's next poll."""
-    early = job_request('early', step(5), payload='ms=50')
-    await cluster.submit(early)
-    await cluster.wait_until_done(early)
-    await trio.sleep(0.1)
-
-
-async def _finish_job_once(cluster: Cluster) -> None:
-    """Run a job of one task, which must start once at the present workers."""
-    late = job_request('late', payload='ms=50')
-    await cluster.submit(late)
-    await cluster.wait_until_done(late)
-    starts = list(cluster.starts().values())
-    if starts != [1]:
-        raise AssertionError(f'numbers of starts of each task: {starts}')
-
-
-async def _restart_in_the_dark(
-    cluster: Cluster, *, clock_origin_ms: int = 0
-) -> SimulatedWorker:
-    """Restart the worker while a poll, just sent, waits there."""
-    await _finish_early_job(cluster)
-    return cluster.restart_worker(
-        _RESTARTED, is_dark=True, clock_origin_ms=clock_origin_ms
-    )
-
-
-async def _start_long_task(cluster: Cluster, worker: SimulatedWorker) -> None:
-    """Start a long task at the only worker there is."""
-    await cluster.submit(_LONG)
-    await cluster.wait_until(lambda: bool(worker.running))
-
 
 async def _replace_owner(
     cluster: Cluster, owner: Candidate, successor: Candidate
@@ -113,13 +68,13 @@
     client = cluster.worker_client
     client.starts_to_delay = 4
     client.stops_to_drop = 100
-    await cluster.submit(_LONG)
+    await cluster.submit(LONG)
     await cluster.wait_until(lambda: len(client.delayed_orders) > 1)
 
 
 async def _check_start_elsewhere(cluster: Cluster) -> None:
     """Cut the worker off; its task must start elsewhere, but not too early."""
-    cluster.worker_client.unreachable.add(_RESTARTED)
+    cluster.worker_client.unreachable.add(RESTARTED)
     second = await cluster.add_worker('w2')
     await cluster.wait_until(lambda: bool(second.running))
 
@@ -176,32 +131,32 @@
         run_with_clock(self._listing_changes_while_a_poll_waits)
 
     async def _order_finds_no_connection(self) -> None:
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            await _finish_early_job(cluster)
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            await elect(cluster, nursery)
+            await finish_early_job(cluster)
             cluster.worker_client.connections_to_lose = 1
-            await _start_long_task(cluster, cluster.workers[_RESTARTED])
-            self.assertEqual(1, cluster.workers[_RESTARTED].starts[-1][1])
+            await start_long_task(cluster, cluster.workers[RESTARTED])
+            self.assertEqual(1, cluster.workers[RESTARTED].starts[-1][1])
 
     async def _order_finds_another_incarnation(self) -> None:
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            worker = await _restart_in_the_dark(cluster)
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            await elect(cluster, nursery)
+            worker = await restart_in_the_dark(cluster)
             began_s = trio.current_time()
-            await _start_long_task(cluster, worker)
-            self.assertLess(trio.current_time() - began_s, _ALMOST_NOTICED_S)
+            await start_long_task(cluster, worker)
+            self.assertLess(trio.current_time() - began_s, ALMOST_NOTICED_S)
 
     async def _young_worker_restarts_and_is_lost(self) -> None:
         """The order is carried out late, until the lease in it has ended."""
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
             owner = cluster.spawn(nursery, 'e1')
             await cluster.wait_until(lambda: owner.cell is not None)
             await trio.sleep(_YOUNG_S)
             client = cluster.worker_client
             await _delay_order(cluster)
-            worker = cluster.restart_worker(_RESTARTED)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            client.unreachable.add(_RESTARTED)
+            worker = cluster.restart_worker(RESTARTED)
+            await trio.sleep(ALMOST_NOTICED_S)
+            client.unreachable.add(RESTARTED)
             second = await cluster.add_worker('w2')
             await trio.sleep(_YOUNG_S)
             client.delayed_orders[-1]()
@@ -212,16 +167,16 @@
 
     async def _order_outlives_two_restarts(self) -> None:
         """The second incarnation is young, so its own leases end early."""
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            await elect(cluster, nursery)
             client = cluster.worker_client
             await _delay_order(cluster)
             for origin_ms in (0, _LATE_ORIGIN_MS):
                 worker = cluster.restart_worker(
-                    _RESTARTED, clock_origin_ms=origin_ms
+                    RESTARTED, clock_origin_ms=origin_ms
                 )
-                await trio.sleep(_ALMOST_NOTICED_S)
-            client.unreachable.add(_RESTARTED)
+                await trio.sleep(ALMOST_NOTICED_S)
+            client.unreachable.add(RESTARTED)
             second = await cluster.add_worker('w2')
             self.assertFalse(worker.starts)
             client.delayed_orders[0]()
@@ -231,20 +186,20 @@
     async def _order_under_way_outlives_two_restarts(self) -> None:
         """Only the second worker suits the task when it is started again."""
         async with open_cluster(()) as (cluster, nursery):
-            await cluster.add_worker(_RESTARTED, kind='b')
-            await _elect(cluster, nursery)
+            await cluster.add_worker(RESTARTED, kind='b')
+            await elect(cluster, nursery)
             client = cluster.worker_client
             client.starts_to_delay = 1
             client.stops_to_drop = 100
             suited = step(required_label='b')
             await cluster.submit(job_request('aa', suited, payload='ms=60000'))
             await cluster.wait_until(lambda: bool(client.delayed_orders))
-            await cluster.add_worker(_RESTARTED, kind='a')
+            await cluster.add_worker(RESTARTED, kind='a')
             for _ in range(2):
-                cluster.restart_worker(_RESTARTED)
-                await trio.sleep(_ALMOST_NOTICED_S)
+                cluster.restart_worker(RESTARTED)
+                await trio.sleep(ALMOST_NOTICED_S)
             second = await cluster.add_worker('w2', kind='b')
-            await trio.sleep(_LISTED_S)
+            await trio.sleep(LISTED_S)
             client.delayed_orders[0]()
             cluster.check_single_runs()
             client.stops_to_drop = 0
@@ -252,9 +207,9 @@
 
     async def _listing_changes_while_a_poll_waits(self) -> None:
         """The poll's connection is reset, and a probe finds another worker."""
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            await _start_long_task(cluster, cluster.workers[_RESTARTED])
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            await elect(cluster, nursery)
+            await start_long_task(cluster, cluster.workers[RESTARTED])
             second = await cluster.add_worker('w2')
             client = cluster.worker_client
             client.foreign_hosts.add('elsewhere')
@@ -263,9 +218,9 @@
             async def reset_hold(
                 worker: WorkerAddress, order: HoldOrder, *, timeout_s: float
             ) -> HoldReport:
-                if worker.worker_id != _RESTARTED or worker.born_ms is None:
+                if worker.worker_id != RESTARTED or worker.born_ms is None:
                     return await send_hold(worker, order, timeout_s=timeout_s)
-                await cluster.move_listing(_RESTARTED, 'elsewhere')
+                await cluster.move_listing(RESTARTED, 'elsewhere')
                 await trio.sleep(_LISTING_DELAY_S)
                 return HoldReport(OrderOutcome.NOT_CONNECTED)
 
@@ -273,42 +228,42 @@
                 await cluster.wait_until(lambda: bool(second.running))
 
     async def _cut_off_before_restart_is_noticed(self) -> None:
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            worker = await _restart_in_the_dark(cluster)
-            await _start_long_task(cluster, worker)
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            await elect(cluster, nursery)
+            worker = await restart_in_the_dark(cluster)
+            await start_long_task(cluster, worker)
             await _check_start_elsewhere(cluster)
 
     async def _cut_off_after_restart_is_noticed(self) -> None:
         """The new incarnation answers a poll before it is cut off."""
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            worker = await _restart_in_the_dark(cluster)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            await _start_long_task(cluster, worker)
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            await elect(cluster, nursery)
+            worker = await restart_in_the_dark(cluster)
+            await trio.sleep(ALMOST_NOTICED_S)
+            await start_long_task(cluster, worker)
             client = cluster.worker_client
             polls = client.holds_count
             await cluster.wait_until(lambda: client.holds_count > polls)
             await _check_start_elsewhere(cluster)
 
     async def _clock_is_ahead(self) -> None:
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            former = cluster.workers[_RESTARTED]
-            origin_ms = former.clock_ms(trio.current_time()) + _CLOCK_LEAD_MS
-            worker = await _restart_in_the_dark(
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            await elect(cluster, nursery)
+            former = cluster.workers[RESTARTED]
+            origin_ms = former.clock_ms(trio.current_time()) + CLOCK_LEAD_MS
+            worker = await restart_in_the_dark(
                 cluster, clock_origin_ms=origin_ms
             )
-            await _start_long_task(cluster, worker)
+            await start_long_task(cluster, worker)
             await _check_start_elsewhere(cluster)
 
     async def _next_owner_polls_once(self) -> None:
         """The next owner reads the new clock, but not the run's lease."""
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            owner = await _elect(cluster, nursery)
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            owner = await elect(cluster, nursery)
             successor = cluster.spawn(nursery, 'e2')
-            worker = await _restart_in_the_dark(cluster)
-            await _start_long_task(cluster, worker)
+            worker = await restart_in_the_dark(cluster)
+            await start_long_task(cluster, worker)
             fence = worker.fence
             await _replace_owner(cluster, owner, successor)
             await cluster.wait_until(lambda: worker.fence > fence)
@@ -320,15 +275,15 @@
         The lease in the order ends long after the latest one that the new
         incarnation grants.
         """
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            owner = await _elect(cluster, nursery)
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            owner = await elect(cluster, nursery)
             successor = cluster.spawn(nursery, 'e2')
-            worker = await _restart_in_the_dark(cluster)
+            worker = await restart_in_the_dark(cluster)
             client = cluster.worker_client
             client.starts_to_delay = 1
-            await cluster.submit(_LONG)
+            await cluster.submit(LONG)
             await cluster.wait_until(lambda: bool(client.delayed_orders))
-            client.unreachable.add(_RESTARTED)
+            client.unreachable.add(RESTARTED)
             await _replace_owner(cluster, owner, successor)
             await trio.sleep(_LATE_ORDER_DELAY_S)
             client.delayed_orders[0]()
@@ -341,90 +296,11 @@
         The poll after it acknowledges the ends of before to the new one, where
         a run has ended meanwhile.
         """
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            await _finish_early_job(cluster)
+        async with open_cluster((RESTARTED,)) as (cluster, nursery):
+            await elect(cluster, nursery)
+            await finish_early_job(cluster)
             delays_s = cluster.worker_client.hold_answer_delays_s
             delays_s.append(_LATE_ANSWER_DELAY_S)
             await cluster.wait_until(lambda: not delays_s)
-            cluster.restart_worker(_RESTARTED)
-            await _finish_job_once(cluster)
-
-
-class NextIncarnationTests(unittest.TestCase):
-    """Guards against state of a former incarnation used with the next one."""
-
-    def test_restarted_worker_is_of_another_kind(self) -> None:
-        """Guards against a start by the labels of a former incarnation."""
-        run_with_clock(self._restarted_as_another_kind)
-
-    def test_restarted_worker_is_listed_again(self) -> None:
-        """Guards against a restarted worker that gets no runs any more."""
-        run_with_clock(self._listed_again)
-
-    def test_listing_tells_a_restart(self) -> None:
-        """Guards against lost tasks that wait for a poll to time out."""
-        run_with_clock(self._listing_tells_a_restart)
-
-    def test_worker_restarts_after_a_checkpoint(self) -> None:
-        """Guards against work that is done again though it was saved."""
-        run_with_clock(self._restarts_after_a_checkpoint)
-
-    def test_ends_of_an_incarnation_with_its_clock_ahead(self) -> None:
-        """Guards against ends that are taken for those of a former one."""
-        run_with_clock(self._ends_with_the_clock_ahead)
-
-    async def _restarted_as_another_kind(self) -> None:
-        async with open_cluster(()) as (cluster, nursery):
-            await cluster.add_worker(_RESTARTED, kind='a', tells_start=True)
-            await _elect(cluster, nursery)
-            worker = cluster.restart_worker(_RESTARTED)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            request = job_request('aa', step(required_label='a'))
-            await cluster.submit(request)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            await cluster.add_worker(_RESTARTED, kind='b', tells_start=True)
-            await cluster.add_worker('w2', kind='a')
-            await cluster.wait_until_done(request)
-            self.assertFalse(worker.starts)
-
-    async def _listed_again(self) -> None:
-        async with open_cluster(()) as (cluster, nursery):
-            await cluster.add_worker(_RESTARTED, tells_start=True)
-            await _elect(cluster, nursery)
-            cluster.restart_worker(_RESTARTED)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            await cluster.add_worker(_RESTARTED, tells_start=True)
-            await _finish_early_job(cluster)
-
-    async def _listing_tells_a_restart(self) -> None:
-        async with open_cluster(()) as (cluster, nursery):
-            former = await cluster.add_worker(_RESTARTED, tells_start=True)
-            await _elect(cluster, nursery)
-            await _start_long_task(cluster, former)
-            worker = await _restart_in_the_dark(cluster)
-            began_s = trio.current_time()
-            await cluster.add_worker(_RESTARTED, tells_start=True)
-            await cluster.wait_until(lambda: bool(worker.running))
-            self.assertLess(trio.current_time() - began_s, _LISTED_S)
-
-    async def _restarts_after_a_checkpoint(self) -> None:
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            saving = job_request('saving', payload='ms=10000 save')
-            await cluster.submit(saving)
-            await trio.sleep(_FORMER_LIFE_S / 5)
-            worker = cluster.restart_worker(_RESTARTED)
-            await cluster.wait_until(lambda: bool(worker.running))
-            percent = int(worker.start_checkpoints[-1] or 0)
-            self.assertGreaterEqual(percent, 40)
-
-    async def _ends_with_the_clock_ahead(self) -> None:
-        async with open_cluster((_RESTARTED,)) as (cluster, nursery):
-            await _elect(cluster, nursery)
-            await _finish_early_job(cluster)
-            former = cluster.workers[_RESTARTED]
-            origin_ms = former.clock_ms(trio.current_time()) + _CLOCK_LEAD_MS
-            cluster.restart_worker(_RESTARTED, clock_origin_ms=origin_ms)
-            await trio.sleep(_ALMOST_NOTICED_S)
-            await _finish_job_once(cluster)
+            cluster.restart_worker(RESTARTED)
+            await finish_job_once(cluster)
