Write the four calls of a worker's client once in the stand-ins

Three stand-ins that stand before another client (cut paths, a frozen process, calls through other entries) each repeated start, stop, pace and hold. They share a base now and decide only what becomes of a call. The margin of relayed calls stands once, in cells/worker_relay.py. The tests that use them pass unchanged (test_late_answers, test_outdated_owner, test_unreachable_from_owner, test_calls_through_entries, test_histories).

--- a/src/marjoramwharf/cells/worker_relay.py
+++ b/src/marjoramwharf/cells/worker_relay.py
@@ -44,7 +44,7 @@
 _STATUS_DONE = 200
 
 # The answer of an entry may arrive this much after the call's own timeout.
-_RELAY_MARGIN_S = 0.3
+RELAY_MARGIN_S = 0.3
 
 _Reply = TypeVar('_Reply', HoldReport, OrderAnswer)
 
@@ -132,7 +132,7 @@
             ttypes.JobCall(
                 method=WORKER_METHOD, shard=0, body=encode_call(call)
             ),
-            timeout_s=call.timeout_s + _RELAY_MARGIN_S,
+            timeout_s=call.timeout_s + RELAY_MARGIN_S,
         )
         if reply.status != _STATUS_DONE:
             raise BadFrame(message=f'status {reply.status} of a worker call')
--- a/standins/frozen_process.py
+++ b/standins/frozen_process.py
@@ -6,21 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import trio
 
-from marjoramwharf.cells.worker_messages import (
-    HoldOrder,
-    HoldReport,
-    OrderAnswer,
-    PaceOrder,
-    StartOrder,
-    StopOrder,
-    WorkerAddress,
-    WorkerClient,
-)
+from marjoramwharf.cells.worker_messages import WorkerAddress
 from marjoramwharf.ids import LeaseId
 from marjoramwharf.links.store import (
     Committed,
@@ -32,6 +24,9 @@
     WatchBatch,
     Write,
 )
+from standins.interposed_worker_client import InterposedWorkerClient
+
+_Reply = TypeVar('_Reply')
 
 
 @dataclass
@@ -51,47 +46,22 @@
 
 
 @dataclass
-class FreezableWorkerClient:
+class FreezableWorkerClient(InterposedWorkerClient):
     """Implements ``WorkerClient`` for a process with a gate."""
 
-    client: WorkerClient
     gate: FreezeGate = field(default_factory=FreezeGate)
 
-    async def start(
-        self, worker: WorkerAddress, order: StartOrder, *, timeout_s: float
-    ) -> OrderAnswer:
-        """Start a run."""
-        await self.gate.wait_thawed()
-        answer = await self.client.start(worker, order, timeout_s=timeout_s)
-        await self.gate.wait_thawed()
-        return answer
-
-    async def stop(
-        self, worker: WorkerAddress, order: StopOrder, *, timeout_s: float
-    ) -> OrderAnswer:
-        """Stop a run."""
-        await self.gate.wait_thawed()
-        answer = await self.client.stop(worker, order, timeout_s=timeout_s)
-        await self.gate.wait_thawed()
-        return answer
-
-    async def pace(
-        self, worker: WorkerAddress, order: PaceOrder, *, timeout_s: float
-    ) -> OrderAnswer:
-        """Change the speed of a run."""
-        await self.gate.wait_thawed()
-        answer = await self.client.pace(worker, order, timeout_s=timeout_s)
-        await self.gate.wait_thawed()
-        return answer
-
-    async def hold(
-        self, worker: WorkerAddress, order: HoldOrder, *, timeout_s: float
-    ) -> HoldReport:
-        """Extend leases and poll for ends."""
+    async def make_call(
+        self,
+        _worker: WorkerAddress,
+        call: Callable[[], Awaitable[_Reply]],
+        _timeout_s: float,
+    ) -> _Reply | None:
+        """Make a call once the process is thawed."""
         await self.gate.wait_thawed()
-        report = await self.client.hold(worker, order, timeout_s=timeout_s)
+        reply = await call()
         await self.gate.wait_thawed()
-        return report
+        return reply
 
 
 @dataclass
--- a/standins/relaying_entries.py
+++ b/standins/relaying_entries.py
@@ -8,22 +8,10 @@
 
 import trio
 
-from marjoramwharf.cells.worker_messages import (
-    HoldOrder,
-    HoldReport,
-    OrderAnswer,
-    OrderOutcome,
-    PaceOrder,
-    StartOrder,
-    StopOrder,
-    WorkerAddress,
-    WorkerClient,
-)
-from marjoramwharf.cells.worker_relay import RelayingEntry
+from marjoramwharf.cells.worker_messages import WorkerAddress, WorkerClient
+from marjoramwharf.cells.worker_relay import RELAY_MARGIN_S, RelayingEntry
 from marjoramwharf.ids import EntryId
-
-# The answer of an entry may arrive this much after the call's own timeout.
-_RELAY_MARGIN_S = 0.3
+from standins.interposed_worker_client import InterposedWorkerClient
 
 _Reply = TypeVar('_Reply')
 
@@ -47,53 +35,15 @@
         }
 
 
-@dataclass(frozen=True)
-class _RelayedClient:
-    client: WorkerClient
+@dataclass
+class _RelayedClient(InterposedWorkerClient):
     nursery: trio.Nursery
 
-    async def start(
-        self, worker: WorkerAddress, order: StartOrder, *, timeout_s: float
-    ) -> OrderAnswer:
-        """Start a run."""
-        answer = await self._call(
-            lambda: self.client.start(worker, order, timeout_s=timeout_s),
-            timeout_s,
-        )
-        return answer or OrderAnswer(OrderOutcome.UNKNOWN)
-
-    async def stop(
-        self, worker: WorkerAddress, order: StopOrder, *, timeout_s: float
-    ) -> OrderAnswer:
-        """Stop a run."""
-        answer = await self._call(
-            lambda: self.client.stop(worker, order, timeout_s=timeout_s),
-            timeout_s,
-        )
-        return answer or OrderAnswer(OrderOutcome.UNKNOWN)
-
-    async def pace(
-        self, worker: WorkerAddress, order: PaceOrder, *, timeout_s: float
-    ) -> OrderAnswer:
-        """Change the speed of a run."""
-        answer = await self._call(
-            lambda: self.client.pace(worker, order, timeout_s=timeout_s),
-            timeout_s,
-        )
-        return answer or OrderAnswer(OrderOutcome.UNKNOWN)
-
-    async def hold(
-        self, worker: WorkerAddress, order: HoldOrder, *, timeout_s: float
-    ) -> HoldReport:
-        """Extend leases and poll for ends."""
-        report = await self._call(
-            lambda: self.client.hold(worker, order, timeout_s=timeout_s),
-            timeout_s,
-        )
-        return report or HoldReport(OrderOutcome.UNKNOWN)
-
-    async def _call(
-        self, call: Callable[[], Awaitable[_Reply]], timeout_s: float
+    async def make_call(
+        self,
+        _worker: WorkerAddress,
+        call: Callable[[], Awaitable[_Reply]],
+        timeout_s: float,
     ) -> _Reply | None:
         """Return the reply to a call, or ``None`` if it takes too long."""
         replies: list[_Reply] = []
@@ -104,6 +54,6 @@
             is_done.set()
 
         self.nursery.start_soon(make)
-        with trio.move_on_after(timeout_s + _RELAY_MARGIN_S):
+        with trio.move_on_after(timeout_s + RELAY_MARGIN_S):
             await is_done.wait()
         return replies[0] if replies else None
