Cut the owner's paths to the workers in the soak

Each worker has one link for all entries, so the soak could not cut the paths of one entry only. A link now holds the bytes of chosen processes, which it tells by the local port of their connections; the new kind 'owner cut off from workers' does that to the owner for 3 s and more.

--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 import tempfile
 import unittest
@@ -121,6 +122,23 @@
                     self.assertEqual(b'b', await stream.receive_some(10))
             nursery.cancel_scope.cancel()
 
+    def test_cut_process(self) -> None:
+        """Guards against a cut of one process that harms none, or others."""
+        trio.run(self._cut_process)
+
+    async def _cut_process(self) -> None:
+        async with trio.open_nursery() as nursery:
+            link = await self._open_link(nursery)
+            stream = await open_stream(HOST, link.port)
+            link.cut_pids.add(os.getppid())
+            self.assertEqual(b'a', await _exchange(stream, b'a'))
+            link.cut_pids.add(os.getpid())
+            self.assertIsNone(await _exchange(stream, b'b'))
+            link.heal()
+            with trio.fail_after(2):
+                self.assertEqual(b'b', await stream.receive_some(10))
+            nursery.cancel_scope.cancel()
+
     def test_refuse(self) -> None:
         """Guards against a link that goes on while it should refuse."""
         trio.run(self._refuse)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -22,6 +22,7 @@
 _DELAY_S = 0.15
 _MAX_LOST_ANSWERS = 4
 _STOP_LIMIT_S = 8.0
+_MIN_CUT_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +169,19 @@
     await _link_of(fleet, fault).refuse(fault.duration_s)
 
 
+async def _cut_owner_from_workers(fleet: SoakFleet, fault: Fault) -> None:
+    """Cut the owner's paths to the workers; other entries keep theirs.
+
+    The cut lasts long enough for the owner to call them through these.
+    """
+    pid = fleet.owner().popen.pid
+    for link in fleet.worker_links:
+        link.cut_pids.add(pid)
+    await trio.sleep(_MIN_CUT_S + fault.duration_s)
+    for healed in fleet.worker_links:
+        healed.cut_pids.discard(pid)
+
+
 def _link_of(fleet: SoakFleet, fault: Fault) -> Link:
     return fleet.links[fault.target % len(fleet.links)]
 
@@ -192,8 +206,9 @@
     'link reset': _reset_link,
     'link refuses': _refuse_link,
     'data centre evacuated': _evacuate,
+    'owner cut off from workers': _cut_owner_from_workers,
 }
 ALL_KINDS = tuple(FAULTS)
 
 # A seed stands for the same faults only together with the kinds to choose from.
-FIRST_KINDS = ALL_KINDS[:-2]
+FIRST_KINDS = ALL_KINDS[:-3]
--- a/tools/soak/link.py
+++ b/tools/soak/link.py
@@ -13,6 +13,7 @@
 
 from marjoramwharf.links.http_server import open_listener
 from marjoramwharf.links.tcp import open_stream
+from tools.soak.sockets import has_port
 
 HOST = '127.0.0.1'
 
@@ -50,13 +51,15 @@
     """Passes connections to a port on to another one.
 
     Bytes that are held up by the mode arrive once it changes, unless the
-    connection has ended by then. ``delay_s`` is added to each chunk.
+    connection has ended by then. ``delay_s`` is added to each chunk. Nothing
+    passes from or to the processes with ``cut_pids``.
     """
 
     port: int
     target_port: int
     mode: LinkMode = LinkMode.OPEN
     delay_s: float = 0
+    cut_pids: set[int] = field(default_factory=set)
     _streams: set[trio.SocketStream] = field(default_factory=set)
     _accept_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _refusals_count: int = 0
@@ -90,6 +93,7 @@
         """Pass bytes on without a delay from now on."""
         self.mode = LinkMode.OPEN
         self.delay_s = 0
+        self.cut_pids.clear()
 
     async def reset(self) -> None:
         """Reset all connections; new ones work."""
@@ -106,14 +110,23 @@
             await trio.aclose_forcefully(caller)
             return
         ends = {caller, server}
+        caller_port = caller.socket.getpeername()[1]
         self._streams |= ends
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    self._pump, caller, server, _Direction.REQUESTS
+                    self._pump,
+                    caller,
+                    server,
+                    _Direction.REQUESTS,
+                    caller_port,
                 )
                 nursery.start_soon(
-                    self._pump, server, caller, _Direction.ANSWERS
+                    self._pump,
+                    server,
+                    caller,
+                    _Direction.ANSWERS,
+                    caller_port,
                 )
         finally:
             self._streams -= ends
@@ -124,18 +137,24 @@
         source: trio.SocketStream,
         sink: trio.SocketStream,
         direction: _Direction,
+        caller_port: int,
     ) -> None:
         """Pass chunks on until either side ends the connection."""
         try:
             while chunk := await source.receive_some(_CHUNK_BYTES):
                 await trio.sleep(self.delay_s)
-                while direction in _HELD_DIRECTIONS[self.mode]:
+                while self._is_held(direction, caller_port):
                     await trio.sleep(_HELD_PAUSE_S)
                 await sink.send_all(chunk)
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             await _close((source, sink))
 
+    def _is_held(self, direction: _Direction, caller_port: int) -> bool:
+        if direction in _HELD_DIRECTIONS[self.mode]:
+            return True
+        return any(has_port(pid, caller_port) for pid in self.cut_pids)
+
 
 async def _close(streams: Iterable[trio.SocketStream]) -> None:
     for stream in streams:
