Give each caller of the soak a job of its own while the loop is busy

The id was the number of records at the time of the start, and a record was added by the caller's task, which may begin after the next id is drawn if the loop stalls. The record is added first now.

--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -4,9 +4,12 @@
 
 import os
 import pathlib
+import random
 import tempfile
+import time
 import unittest
 from dataclasses import replace
+from unittest.mock import Mock, patch
 
 import trio
 from trio.testing import wait_all_tasks_blocked
@@ -14,11 +17,13 @@
 from marjoramwharf.links.http_server import open_listener
 from marjoramwharf.links.tcp import open_stream
 from tools.ports import free_ports
+from tools.soak.callers import Callers
 from tools.soak.checks import CallerRecord, Run, find_violations
 from tools.soak.faults import ALL_KINDS, FAULTS, make_plan
 from tools.soak.link import HOST, Link, LinkMode
 from tools.soak.soak import run_soak
 
+_BUSY_S = 0.01
 _RUN = Run('j.0.0.0', 1, 1, 2, 'done', 2.5)
 
 
@@ -98,6 +103,35 @@
         self.assertEqual(set(FAULTS), drawn)
 
 
+class CallerTests(unittest.TestCase):
+    """Guards against callers that the soak mixes up."""
+
+    def test_busy_loop(self) -> None:
+        """Guards against two callers of one job while the loop is busy."""
+        with patch('tools.soak.callers._SUBMIT_PAUSE_S', _BUSY_S):
+            trio.run(self._busy_loop)
+
+    async def _busy_loop(self) -> None:
+        callers = Callers(Mock(), random.Random(1))
+        with patch.object(Callers, '_call', _end_at_once):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_keep_loop_busy)
+                await callers.run(100 * _BUSY_S)
+                nursery.cancel_scope.cancel()
+        job_ids = [record.job_id for record in callers.records]
+        self.assertEqual(len(set(job_ids)), len(job_ids))
+
+
+async def _end_at_once(*_args: object) -> None:
+    await trio.lowlevel.checkpoint()
+
+
+async def _keep_loop_busy() -> None:
+    while True:
+        await trio.lowlevel.checkpoint()
+        time.sleep(_BUSY_S)
+
+
 class LinkTests(unittest.TestCase):
     """Guards against a fault of a link that harms nothing."""
 
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -40,15 +40,17 @@
         end_s = trio.current_time() + duration_s
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end_s:
-                nursery.start_soon(self._call, len(self.records))
+                number = len(self.records)
+                # Added here, since the caller's task may begin much later.
+                record = CallerRecord(
+                    f'{number:016x}', _FIRST_STEP_TASKS + _SECOND_STEP_TASKS
+                )
+                self.records.append(record)
+                nursery.start_soon(self._call, record, number)
                 await trio.sleep(_SUBMIT_PAUSE_S)
 
-    async def _call(self, number: int) -> None:
+    async def _call(self, record: CallerRecord, number: int) -> None:
         """Submit one job, cancel it at times, and watch it to its end."""
-        record = CallerRecord(
-            f'{number:016x}', _FIRST_STEP_TASKS + _SECOND_STEP_TASKS
-        )
-        self.records.append(record)
         will_cancel = self.rng.random() < _CANCELLED_SHARE
         run_ms = self.rng.choice((50, 300, 1_500))
         attempts_count = _SUBMIT_ATTEMPTS_COUNTS[number % 2]
