Bound the exponent of the pause of a path that keeps failing

The pause was one second times a power of two by the number of failures, and the direct path of a lost worker fails about twice a second: after 1,024 failures the power is too large for a float. Each poll of a worker that had been lost for some nine minutes would have raised OverflowError, been logged with a traceback, and never been routed again. Found by reading.

The exponent is bounded by the longest pause of 16 s. test_worker_is_lost_for_long failed before (OverflowError) and passes.

--- a/src/marjoramwharf/cells/worker_routes.py
+++ b/src/marjoramwharf/cells/worker_routes.py
@@ -29,9 +29,10 @@
 Route: TypeAlias = EntryId | None
 DIRECT: Final[Route] = None
 
-# A path is tried again after this time, doubled with each further failure.
+# A path is tried again after this time, doubled with each further failure up to
+# the longest one.
 _FIRST_RETRY_S = 1.0
-_MAX_RETRY_S = 16.0
+_MAX_DOUBLINGS = 4
 
 # A path that has worked for this long counts as sound again.
 _SOUND_AFTER_S = 10.0
@@ -63,10 +64,10 @@
 
     def record_failure(self, now_s: float) -> None:
         """Put the next attempt off, longer with each failure."""
-        delay_s = _FIRST_RETRY_S * 2**self.failures_count
+        doublings = min(self.failures_count, _MAX_DOUBLINGS)
         self.failures_count += 1
         self.holds_since_s = None
-        self.retry_s = now_s + min(delay_s, _MAX_RETRY_S)
+        self.retry_s = now_s + _FIRST_RETRY_S * 2**doublings
 
     def record_answer(self, now_s: float) -> None:
         """Allow the next attempt; forget the failures of a sound path."""
--- a/tests/cells/test_worker_routes.py
+++ b/tests/cells/test_worker_routes.py
@@ -101,6 +101,15 @@
                     routes.record_failure(_W1, DIRECT, now_s=now_s)
         self.assertLessEqual(changes_count, 6)
 
+    def test_worker_is_lost_for_long(self) -> None:
+        """Guards against an error after many failures of a path."""
+        routes = WorkerRoutes()
+        for number in range(2_000):
+            routes.record_failure(_W1, DIRECT, now_s=_LOST_S + number / 2)
+        end_s = _LOST_S + 1_000
+        routes.record_answer(_W1, _E2, now_s=end_s)
+        self.assertTrue(routes.is_direct_due(_W1, now_s=end_s + 20))
+
     def test_workers_are_divided(self) -> None:
         """Guards against one entry that carries all workers."""
         routes = WorkerRoutes()
