Store at which workers the owner lets the leases of runs lapse

Cause: a run may be at work until its lease ends, and only the owner that extended it last knows when that is. A worker that is gone tells nobody, so a new owner counted the longest lease from its own start, 10.1 s here, and the next owner did so again.

Change: the owner marks workers with runs that it doesn't reach, in a record that every entry watches, and extends no lease there until the mark is out of the store again. A new owner counts from when it saw the mark. Marks are relied on only if the owner just before vouched for them, so an owner of an older build in between is safe.

Evidence: test_owner_is_lost_after_workers_vanished and test_owners_follow_each_other fail on (too slow); the other tests of the module guard against a second run.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -22,7 +22,7 @@
     PublicJobState,
     StatusAnswer,
 )
-from marjoramwharf.cells.link_context import LinkContext
+from marjoramwharf.cells.lapsing_workers import LapsingWorkers
 from marjoramwharf.cells.maintenance import Maintenance
 from marjoramwharf.cells.model_saver import ModelSaver
 from marjoramwharf.cells.plan_loop import PlanLoop
@@ -81,6 +81,7 @@
     _ticket_cache: TicketCache = field(init=False)
     maintenance: Maintenance = field(init=False)
     _inbox: Inbox = field(init=False)
+    _lapsing: LapsingWorkers = field(init=False)
     _model_saver: ModelSaver = field(init=False)
 
     def __post_init__(self) -> None:
@@ -93,14 +94,7 @@
             job_table=self.job_table,
             model=self._model,
             owner=self,
-            context=LinkContext(
-                worker_client=context.worker_client,
-                fence=ownership.guard.mod_revision,
-                hold_ms=context.hold_ms,
-                max_hold_ms=context.bounds.max_hold_ms,
-                stop_ms=context.bounds.stop_ms,
-                counters=context.counters,
-            ),
+            context=context.link_context(ownership.guard.mod_revision),
             max_over_target_s=context.bounds.max_over_target_ms / _MS_PER_S,
             drain_ms=context.bounds.drain_ms,
             on_change=self._plan_signal.set,
@@ -120,6 +114,13 @@
             on_cancelled=self._stop_surplus_runs,
             on_change=self._wake_planner_and_writer,
         )
+        self._lapsing = LapsingWorkers(
+            store=context.store,
+            cell=ownership.cell,
+            ownership_guard=ownership.guard,
+            view=context.lapsing_view,
+            former_fence=ownership.former_fence,
+        )
         self._model_saver = ModelSaver(
             context.store, ownership.cell, ownership.guard, self._model
         )
@@ -157,6 +158,7 @@
             job_table=self.job_table,
             worker_registry=self.worker_registry,
             inbox=self._inbox,
+            lapsing=self._lapsing,
             run_mover=RunMover(
                 worker_registry=self.worker_registry,
                 planner=planner,
@@ -177,6 +179,7 @@
         store = self.context.store
         began_s = boot_s()
         await self._inbox.load(store)
+        await self._lapsing.load()
         await self._model_saver.load()
         self.is_loaded = True
         _LOG.info(
@@ -200,6 +203,7 @@
         async with trio.open_nursery() as nursery:
             self.worker_registry.attach(nursery)
             nursery.start_soon(self._progress_writer.run)
+            nursery.start_soon(self._lapsing.run)
             nursery.start_soon(inbox.run)
             nursery.start_soon(workers.run)
             nursery.start_soon(self._plan_loop.run)
@@ -275,15 +279,24 @@
     def may_start_runs(self, worker: Worker) -> bool:
         """Whether this entry may send orders to start runs at a worker.
 
-        Its data centre may have been evacuated since the runs were planned.
+        Its data centre may have been evacuated since the runs were planned, or
+        the worker lost.
         """
         is_evacuated = self.worker_registry.fleet.is_evacuated(worker)
-        return self.ownership.is_current() and not is_evacuated
+        is_allowed = self._lapsing.may_extend(worker.worker_id)
+        return self.ownership.is_current() and is_allowed and not is_evacuated
 
     def may_extend_leases(self) -> bool:
         """Whether this entry may still extend the leases of runs."""
         return self.ownership.may_extend_leases()
 
+    async def allow_extending(self, worker_id: WorkerId) -> bool:
+        """Allow leases at a worker that answers again; return whether they are.
+
+        ``True`` holds until the next checkpoint of the caller.
+        """
+        return await self._lapsing.allow_extending(worker_id)
+
     def on_superseded(self) -> None:
         """Give up the cell, since a worker has seen a higher fence."""
         self.ownership.give_up()
--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -9,6 +9,8 @@
 from marjoramwharf.cells.advice import AdviceClient
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.instance_settings import Bounds
+from marjoramwharf.cells.lapsing_view import LapsingView
+from marjoramwharf.cells.link_context import LinkContext
 from marjoramwharf.cells.records import CellId
 from marjoramwharf.cells.worker_clock import MIN_CLOCK_RATE
 from marjoramwharf.cells.worker_messages import WorkerClient
@@ -37,7 +39,8 @@
     that follows the operators' requests. ``has_other_entries`` tells whether
     other entries are known, ``is_isolated`` whether this one has tried to reach
     them and reaches none, and ``owner_changes_count`` how often the cell has
-    changed its owner lately.
+    changed its owner lately. ``lapsing_view`` holds the marks that owners have
+    stored.
     """
 
     store: PollingStore
@@ -53,12 +56,24 @@
     has_other_entries: Callable[[], bool] = _never
     is_isolated: Callable[[], bool] = _never
     owner_changes_count: Callable[[], int] = int
+    lapsing_view: LapsingView = field(default_factory=LapsingView)
 
     @property
     def longest_lease_s(self) -> float:
         """The longest time that a lease lasts, by the slowest clock."""
         return self.hold_ms / _MS_PER_S / MIN_CLOCK_RATE
 
+    def link_context(self, fence: int) -> LinkContext:
+        """Return what the links to all workers share in a tenure."""
+        return LinkContext(
+            worker_client=self.worker_client,
+            fence=fence,
+            hold_ms=self.hold_ms,
+            max_hold_ms=self.bounds.max_hold_ms,
+            stop_ms=self.bounds.stop_ms,
+            counters=self.counters,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class CellOwnership:
@@ -68,8 +83,9 @@
     the fence of every order to a worker. ``is_current`` tells whether runs may
     still be started, and ``may_extend_leases`` whether the leases of runs may
     still be extended. A former owner that hasn't noticed this one may extend
-    them until ``former_owner_until_s`` of the boot clock. ``give_up`` ends the
-    ownership, and ``give_way`` also lets other entries campaign first.
+    them until ``former_owner_until_s`` of the boot clock; ``former_fence`` is
+    that of the owner before, if known. ``give_up`` ends the ownership, and
+    ``give_way`` also lets other entries campaign first.
     """
 
     cell: CellId
@@ -79,3 +95,4 @@
     former_owner_until_s: float
     give_up: Callable[[], None]
     give_way: Callable[[], None]
+    former_fence: int | None = None
--- a/src/marjoramwharf/cells/decision_log.py
+++ b/src/marjoramwharf/cells/decision_log.py
@@ -67,3 +67,17 @@
         how=how.value,
         percent=run.percent,
     )
+
+
+def log_lapsed(run: Run, marked_s: float | None, now_s: float) -> None:
+    """Log that a former owner's lease of a run has ended by now.
+
+    ``marked_s`` is when this entry saw that the leases were left to lapse.
+    """
+    _LOG.info(
+        'lease of former owner lapsed',
+        task=run.task.name,
+        run=run.number,
+        worker=run.worker_id,
+        marked_ago_s=None if marked_s is None else round(now_s - marked_s, 3),
+    )
--- a/src/marjoramwharf/cells/link_context.py
+++ b/src/marjoramwharf/cells/link_context.py
@@ -37,6 +37,12 @@
     def may_extend_leases(self) -> bool:
         """Whether this entry may still extend the leases of runs."""
 
+    async def allow_extending(self, worker_id: WorkerId) -> bool:
+        """Allow leases at a worker that answers again; return whether they are.
+
+        ``True`` holds until the next checkpoint of the caller.
+        """
+
 
 @dataclass(frozen=True, slots=True)
 class LinkContext:
--- a/src/marjoramwharf/cells/owner_view.py
+++ b/src/marjoramwharf/cells/owner_view.py
@@ -12,10 +12,14 @@
 import trio
 
 from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.lapsing_view import LapsingView
 from marjoramwharf.cells.records import (
     CellId,
     EntryRecord,
+    LapsingRecord,
     decode,
+    is_lapsing_key,
+    parse_lapsing_key,
     parse_owner_key,
 )
 from marjoramwharf.errors import JournalDamaged
@@ -45,15 +49,18 @@
     appears to have ended. It is a hint that only starts a campaign early. Once
     such a process has written another record, it was alive, and the path to it
     refuses connections; this entry follows no further hint then.
-    ``is_loaded`` is true once the records have been read.
+    ``is_loaded`` is true once the records have been read. ``lapsing`` follows
+    the records that owners store beside theirs.
     """
 
     owners: dict[CellId, CurrentOwner] = field(default_factory=dict)
     ended_revisions: dict[CellId, int] = field(default_factory=dict)
     is_loaded: bool = False
     is_misled: bool = False
+    lapsing: LapsingView = field(default_factory=LapsingView)
     _ended_processes: dict[str, int] = field(default_factory=dict)
     _former_owners: dict[CellId, CurrentOwner] = field(default_factory=dict)
+    _revisions: dict[CellId, deque[int]] = field(default_factory=dict)
     _changes_s: dict[CellId, deque[float]] = field(default_factory=dict)
     _change_event: trio.Event = field(default_factory=trio.Event)
 
@@ -85,12 +92,24 @@
         changes_s = self._changes_s.get(cell, ())
         return sum(now_s - at_s < _CHANGES_WINDOW_S for at_s in changes_s)
 
+    def fence_before(self, cell: CellId, fence: int) -> int | None:
+        """Return the fence of the owner before one, if it has been seen."""
+        earlier = [
+            revision
+            for revision in self._revisions.get(cell, ())
+            if revision < fence
+        ]
+        return max(earlier, default=None)
+
     async def wait_change(self) -> None:
         """Wait for the next change of the owners."""
         await self._change_event.wait()
 
     def _apply_event(self, event: StoreEvent) -> None:
         """Apply one event; raises ``JournalDamaged``."""
+        if is_lapsing_key(event.key):
+            self._apply_lapsing(event)
+            return
         cell = parse_owner_key(event.key)
         self.ended_revisions.pop(cell, None)
         if event.stored is None:
@@ -102,6 +121,13 @@
         self._detect_living(owner)
         self._count_change(cell, owner)
 
+    def _apply_lapsing(self, event: StoreEvent) -> None:
+        """Follow the record beside an owner's; raises ``JournalDamaged``."""
+        cell = parse_lapsing_key(event.key)
+        if event.stored is not None:
+            record = decode(event.stored.body, LapsingRecord, key=event.key)
+            self.lapsing.observe(cell, record, now_s=boot_s())
+
     def _detect_living(self, owner: CurrentOwner) -> None:
         """Detect a record of a process that appeared to have ended before."""
         process = owner.record.secret
@@ -114,6 +140,9 @@
         """Count an owner that follows another one; both may be one process."""
         former = self._former_owners.get(cell)
         self._former_owners[cell] = owner
+        revisions = self._revisions.setdefault(cell, deque(maxlen=2))
+        if owner.revision not in revisions:
+            revisions.append(owner.revision)
         if former is not None and former.revision != owner.revision:
             changes_s = self._changes_s.setdefault(
                 cell, deque(maxlen=_MAX_CHANGES_COUNT)
--- a/src/marjoramwharf/cells/progress_writer.py
+++ b/src/marjoramwharf/cells/progress_writer.py
@@ -14,6 +14,7 @@
 
 from marjoramwharf.cells.auto_reset_event import AutoResetEvent
 from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.cells.owner_guard import found_by_owner
 from marjoramwharf.cells.records import (
     CellId,
     build_progress_record,
@@ -240,13 +241,7 @@
         this write was applied. Raises ``NotOwner`` if the owner's record isn't
         that of this entry, or if another process wrote a progress record.
         """
-        found = {stored.key: stored for stored in conflict.found}
-        record = found.get(self.ownership_guard.key)
-        if (
-            record is None
-            or record.mod_revision != self.ownership_guard.mod_revision
-        ):
-            raise NotOwner(message=f'cell {self.cell} has another owner')
+        found = found_by_owner(conflict, self.ownership_guard)
         for snapshot in group:
             key = progress_key(self.cell, snapshot.job.job_id)
             self._resolve_job(snapshot.job, found.get(key))
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -31,6 +31,8 @@
 OWNERS_PREFIX = 'mw/own/'
 ENTRIES_PREFIX = 'mw/entry/'
 
+_LAPSING_SUFFIX = '/lapsing'
+
 _Model = TypeVar('_Model')  # any record, not an interference model
 
 
@@ -77,6 +79,25 @@
     weights: tuple[KnownWeight, ...] = ()
 
 
+class LapsingMark(Struct, frozen=True, array_like=True):
+    """A worker at which the leases of runs are left to lapse.
+
+    ``fence`` and ``number`` tell which owner set the mark, and which of its
+    marks it is, so that no other mark is equal.
+    """
+
+    worker_id: str
+    fence: int
+    number: int
+
+
+class LapsingRecord(Struct, frozen=True, array_like=True):
+    """All such workers of a cell, as the owner with this fence vouches for."""
+
+    fence: int
+    marks: tuple[LapsingMark, ...] = ()
+
+
 class ProgressRecord(Struct, frozen=True, array_like=True):
     """Progress of a job: its phase, open occurrences and tasks with runs."""
 
@@ -104,6 +125,28 @@
     return CellId(int(number))
 
 
+def lapsing_key(cell: CellId) -> str:
+    """Key of the record of the workers at which leases are left to lapse.
+
+    It is next to the owner's key, which every entry watches.
+    """
+    return f'{owner_key(cell)}{_LAPSING_SUFFIX}'
+
+
+def is_lapsing_key(key: str) -> bool:
+    """Whether a key next to the owners' keys is one of ``lapsing_key``.
+
+    >>> is_lapsing_key(lapsing_key(CellId(3)))
+    True
+    """
+    return key.endswith(_LAPSING_SUFFIX)
+
+
+def parse_lapsing_key(key: str) -> CellId:
+    """Return the cell of such a key; raises ``JournalDamaged``."""
+    return parse_owner_key(key.removesuffix(_LAPSING_SUFFIX))
+
+
 def entry_key(slot: int) -> str:
     """Key of the leased record of an entry."""
     return f'{ENTRIES_PREFIX}{slot}'
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -140,9 +140,7 @@
             self._reports.process(
                 report, sent_s=fetched.sent_s, nursery=nursery
             )
-            self._record_reached(fetched.address)
-            self.owner.on_polled(self.worker.worker_id)
-            await self.acknowledgements.wait(timeout_s=_ACKNOWLEDGEMENT_WAIT_S)
+            await self._follow_report(fetched.address)
         elif report.outcome is OrderOutcome.FENCED:
             self.owner.on_superseded()
             await trio.sleep(_UNREACHABLE_PAUSE_S)
@@ -153,6 +151,20 @@
             )
             await trio.sleep(_UNREACHABLE_PAUSE_S)
 
+    async def _follow_report(self, address: WorkerAddress) -> None:
+        """Go on with polls of a worker that has answered.
+
+        No lease is extended at one that had been lost until the owner allows it.
+        """
+        worker_id = self.worker.worker_id
+        is_lost = not self.worker.is_reachable
+        if is_lost and not await self.owner.allow_extending(worker_id):
+            await trio.sleep(_UNREACHABLE_PAUSE_S)
+            return
+        self._record_reached(address)
+        self.owner.on_polled(worker_id)
+        await self.acknowledgements.wait(timeout_s=_ACKNOWLEDGEMENT_WAIT_S)
+
     async def _fetch_report(self) -> _FetchedReport:
         """Poll the known incarnation, or find out which one is there.
 
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -242,6 +242,9 @@
                 former_owner_until_s=self._former_owner_until_s(tenure),
                 give_up=tenure.scope.cancel,
                 give_way=lambda: self.campaign.give_way(now_s=boot_s()),
+                former_fence=self.view.fence_before(
+                    tenure.cell, tenure.revision
+                ),
             ),
             context=CellContext(
                 store=self.store,
@@ -261,6 +264,7 @@
                 owner_changes_count=lambda: self.view.changes_count(
                     tenure.cell, now_s=boot_s()
                 ),
+                lapsing_view=self.view.lapsing,
             ),
         )
         self.cell = cell
--- a/tests/cells/candidate.py
+++ b/tests/cells/candidate.py
@@ -21,7 +21,8 @@
 class Candidate:
     """A process that competes for the cell.
 
-    Cancelling ``scope`` kills it; ``gate`` lets it stand still for a while.
+    Cancelling ``scope`` kills it; ``gate`` lets it stand still for a while, and
+    ``store_gate`` keeps it from the store.
     ``tenures_count`` tells how often it became the owner. It has no path to the
     ``unreachable`` workers, while other entries may have one, none to the
     ``unconnected`` entries, and none to any entry while it ``is_isolated``.
@@ -32,6 +33,7 @@
     cell: Cell | None = None
     campaign: Campaign | None = None
     gate: FreezeGate = field(default_factory=FreezeGate)
+    store_gate: FreezeGate = field(default_factory=FreezeGate)
     evacuations: Evacuations = field(
         default_factory=partial(Evacuations, evacuated_data_centre)
     )
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -195,6 +195,14 @@
         """Store a cancellation as an entry does."""
         await self._store(cancel_key(CELL, job_id), b'1')
 
+    def unlist(self, name: str) -> None:
+        """Remove a worker from the list, as the platform does when it is gone."""
+        self.store.state.apply([Write(f'servers/{name}', None)])
+
+    async def restore_record(self, key: str, body: bytes) -> None:
+        """Store a value again that a key had before."""
+        await self._store(key, body)
+
     async def evacuate(self, data_centre: str) -> None:
         """Store an operator's request to evacuate a data centre."""
         await self._store(f'{EVACUATIONS_PREFIX}{data_centre}', b'{}')
@@ -209,7 +217,7 @@
         """Start the process of an entry that competes for the cell."""
         candidate = Candidate()
         candidate.campaign = Campaign(
-            store=FreezableStore(self.store, candidate.gate),
+            store=self._store_of(candidate),
             view=candidate.view,
             cell=CELL,
             record=EntryRecord(name, name, 1, f'secret of {name}'),
@@ -277,6 +285,11 @@
             start for worker in self.workers.values() for start in worker.starts
         ]
 
+    def _store_of(self, candidate: Candidate) -> FreezableStore:
+        """Return the store as an entry reaches it."""
+        present = FreezableStore(self.store, candidate.gate)
+        return FreezableStore(present, candidate.store_gate)
+
     async def _store(self, key: str, body: bytes) -> None:
         stored = self.store.state.stored.get(key)
         revision = 0 if stored is None else stored.mod_revision
@@ -286,13 +299,13 @@
         with candidate.scope:
             async with trio.open_nursery() as nursery:
                 follower = PrefixWatcher(
-                    FreezableStore(self.store, candidate.gate),
+                    self._store_of(candidate),
                     OWNERS_PREFIX,
                     candidate.view.apply,
                 )
                 nursery.start_soon(follower.run)
                 operators = PrefixWatcher(
-                    FreezableStore(self.store, candidate.gate),
+                    self._store_of(candidate),
                     EVACUATIONS_PREFIX,
                     candidate.evacuations.apply,
                 )
@@ -315,9 +328,10 @@
                 + HOLD_AFTER_EXPIRY_S,
                 give_up=tenure.scope.cancel,
                 give_way=candidate.give_way,
+                former_fence=candidate.view.fence_before(CELL, tenure.revision),
             ),
             context=CellContext(
-                store=FreezableStore(self.store, candidate.gate),
+                store=self._store_of(candidate),
                 worker_client=routed_client_of(
                     candidate,
                     self.candidates,
@@ -335,6 +349,7 @@
                 owner_changes_count=lambda: candidate.view.changes_count(
                     CELL, now_s=boot_s()
                 ),
+                lapsing_view=candidate.view.lapsing,
             ),
         )
         try:
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -19,12 +19,14 @@
     _UnacknowledgedEnd,
 )
 from marjoramwharf.cells.inbox import Inbox
+from marjoramwharf.cells.lapsing_workers import LapsingWorkers
 from marjoramwharf.cells.maintenance import Maintenance
 from marjoramwharf.cells.owner_lag import OwnerLag
 from marjoramwharf.cells.owner_reach import OwnerReach
 from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
+from marjoramwharf.cells.records import LapsingMark, lapsing_key
 from marjoramwharf.cells.report_processor import ReportProcessor
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_link import WorkerLink, _FetchedReport
@@ -38,6 +40,7 @@
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
 from marjoramwharf.cells.worker_routes import DIRECT, Route, WorkerRoutes
+from marjoramwharf.ids import WorkerId
 from marjoramwharf.links.store import Guard
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
@@ -53,6 +56,8 @@
 _plan = PlanLoop._plan
 _add_end = EndAcknowledgements.add
 _run_writer = ProgressWriter.run
+_load_marks = LapsingWorkers.load
+_write_marks = LapsingWorkers._write
 
 
 async def _start_without_fence(self: WorkerOrders, run: Run) -> OrderAnswer:
@@ -164,6 +169,31 @@
     return True
 
 
+async def _extend_at_once(self: LapsingWorkers, worker_id: WorkerId) -> bool:
+    self._marks.pop(worker_id, None)
+    return True
+
+
+async def _trust_any_owner(self: LapsingWorkers) -> None:
+    await _load_marks(self)
+    self._marks = dict(self._confirmed)
+    self._inherit(boot_s())
+
+
+async def _write_whatever_is_stored(self: LapsingWorkers) -> bool:
+    stored = await self.store.read(lapsing_key(self.cell))
+    self._revision = 0 if stored is None else stored.mod_revision
+    return await _write_marks(self)
+
+
+def _same_mark(self: LapsingWorkers, worker_id: WorkerId) -> LapsingMark:
+    return LapsingMark(worker_id, self.ownership_guard.mod_revision, 0)
+
+
+def _mark_at_once(self: Maintenance, _now_s: float) -> None:
+    self.lapsing.mark(self._lost_workers())
+
+
 # Each mutant by the precaution that it leaves out.
 MUTANTS: Mapping[str, Callable[[], _Patch]] = {
     'start orders carry a fence': lambda: patch.object(
@@ -217,6 +247,21 @@
     'a new owner waits for workers that it never reached': lambda: patch(
         f'{Maintenance.__module__}._FORMER_LEASE_MARGIN_S', -_LONG_S
     ),
+    'a marked worker gets a lease only once its mark is out': lambda: (
+        patch.object(LapsingWorkers, 'allow_extending', _extend_at_once)
+    ),
+    'marks count only if the owner before vouched for them': lambda: (
+        patch.object(LapsingWorkers, 'load', _trust_any_owner)
+    ),
+    'a worker is marked anew each time that it is lost': lambda: patch.object(
+        LapsingWorkers, '_new_mark', _same_mark
+    ),
+    'a new owner marks nothing that a former one may extend': lambda: (
+        patch.object(Maintenance, '_mark_lost_workers', _mark_at_once)
+    ),
+    'marks of a former owner are waited for': lambda: patch.object(
+        LapsingWorkers, 'inherited_s', _none
+    ),
     'progress is written only by the owner': lambda: patch.object(
         ProgressWriter, 'run', _write_unguarded
     ),
--- /dev/null
+++ b/tests/cells/test_vanished_workers.py
@@ -0,0 +1,267 @@
+"""Runs at workers that are gone, when the owner changes after that."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Iterable
+
+import trio
+
+from marjoramwharf.cells.records import lapsing_key, owner_key
+from marjoramwharf.ids import TaskId, WorkerId
+from marjoramwharf.links.store import Write
+from tests.cells.candidate import Candidate
+from tests.cells.cluster import (
+    CELL,
+    HOLD_MS,
+    TTL_MS,
+    Cluster,
+    job_request,
+    open_cluster,
+    run_with_clock,
+    step,
+)
+
+_GONE = (WorkerId('w1'), WorkerId('w2'))
+_POLLED_S = 2
+
+# The owner has lost a worker, and has told it, this long after it vanished.
+_TOLD_S = 4
+
+# A lasting task is to be at work this long after its owner was lost.
+_AWAY_LIMIT_S = 6
+
+# A lease of the former owner and the time until it noticed that it lost the path.
+_LEASE_S = HOLD_MS / 1_000 + 4
+
+# Owners that follow each other before their own leases could be waited for.
+_SHORT_TENURE_S = 3
+_OWNERS_COUNT = 4
+
+_LONG_S = 60
+
+
+class VanishedWorkersTests(unittest.TestCase):
+    """Guards against tasks that are held by leases which have long ended."""
+
+    def test_owner_is_lost_after_workers_vanished(self) -> None:
+        """Guards against a new owner that waits from its own start."""
+        run_with_clock(self._owner_is_lost)
+
+    def test_owners_follow_each_other(self) -> None:
+        """Guards against a wait that begins again with each owner."""
+        run_with_clock(self._owners_follow_each_other)
+
+    def test_vanished_worker_runs_on(self) -> None:
+        """Guards against a second run beside one that is only out of reach."""
+        run_with_clock(self._runs_on)
+
+    def test_worker_was_reached_again_for_a_while(self) -> None:
+        """Guards against a mark that counts though leases were extended."""
+        run_with_clock(self._reached_again_for_a_while)
+
+    def test_mark_can_not_be_removed(self) -> None:
+        """Guards against leases at a worker whose mark may still be stored."""
+        run_with_clock(self._mark_can_not_be_removed)
+
+    def test_late_write_of_a_mark(self) -> None:
+        """Guards against a mark that a late write brings back."""
+        run_with_clock(self._late_write_of_a_mark)
+
+    def test_owner_that_knows_no_marks_in_between(self) -> None:
+        """Guards against marks that an owner in between did not respect."""
+        run_with_clock(self._unknowing_owner_in_between)
+
+    def test_former_owner_goes_on(self) -> None:
+        """Guards against a mark while a former owner still extends leases."""
+        run_with_clock(self._former_owner_goes_on)
+
+    async def _owner_is_lost(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            tasks = await _start_lasting(cluster)
+            cluster.spawn(nursery, 'e2')
+            _vanish(cluster)
+            await trio.sleep(_TOLD_S)
+            owner.scope.cancel()
+            await _wait_at_work(cluster, tasks, limit_s=_AWAY_LIMIT_S)
+
+    async def _owners_follow_each_other(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e0')
+            tasks = await _start_lasting(cluster)
+            names = [f'e{number}' for number in range(1, _OWNERS_COUNT)]
+            for name in names:
+                cluster.spawn(nursery, name)
+            _vanish(cluster)
+            await trio.sleep(_TOLD_S)
+            for _ in names:
+                owner.scope.cancel()
+                owner = await _next_owner(cluster)
+                await trio.sleep(_SHORT_TENURE_S)
+            await _wait_at_work(cluster, tasks, limit_s=_AWAY_LIMIT_S)
+
+    async def _runs_on(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            tasks = await _start_lasting(cluster)
+            cluster.spawn(nursery, 'e2')
+            cluster.worker_client.unreachable.update(_GONE)
+            await trio.sleep(_TOLD_S)
+            owner.scope.cancel()
+            await _wait_at_work(cluster, tasks, limit_s=_LEASE_S + TTL_MS)
+
+    async def _reached_again_for_a_while(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            tasks = await _start_lasting(cluster)
+            cluster.spawn(nursery, 'e2')
+            unreachable = cluster.worker_client.unreachable
+            unreachable.update(_GONE)
+            await trio.sleep(_TOLD_S)
+            unreachable.clear()
+            await trio.sleep(_POLLED_S)
+            unreachable.update(_GONE)
+            owner.scope.cancel()
+            await _check_single(cluster, tasks)
+
+    async def _mark_can_not_be_removed(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            tasks = await _start_lasting(cluster)
+            cluster.spawn(nursery, 'e2')
+            unreachable = cluster.worker_client.unreachable
+            unreachable.update(_GONE)
+            await trio.sleep(_TOLD_S)
+            cluster.store.is_down = True
+            unreachable.clear()
+            await trio.sleep(1)
+            unreachable.update(_GONE)
+            owner.scope.cancel()
+            cluster.store.is_down = False
+            await _check_single(cluster, tasks)
+
+    async def _late_write_of_a_mark(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            tasks = await _start_lasting(cluster)
+            cluster.spawn(nursery, 'e2')
+            unreachable = cluster.worker_client.unreachable
+            cluster.store.commits_to_delay = 1
+            unreachable.update(_GONE)
+            while not cluster.store.delayed_commits:
+                await trio.sleep(0.01)
+            unreachable.clear()
+            await trio.sleep(_POLLED_S)
+            for apply in cluster.store.delayed_commits:
+                apply()
+            await trio.sleep(_TOLD_S)
+            unreachable.update(_GONE)
+            owner.scope.cancel()
+            await _check_single(cluster, tasks)
+
+    async def _unknowing_owner_in_between(self) -> None:
+        """The owner in between leaves the record as it is."""
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            tasks = await _start_lasting(cluster)
+            cluster.spawn(nursery, 'e2')
+            unreachable = cluster.worker_client.unreachable
+            unreachable.update(_GONE)
+            await trio.sleep(_TOLD_S)
+            key = lapsing_key(CELL)
+            former = cluster.store.state.stored[key].body
+            owner.scope.cancel()
+            owner = await _next_owner(cluster)
+            unreachable.clear()
+            await trio.sleep(_POLLED_S)
+            cluster.spawn(nursery, 'e3')
+            await trio.sleep(_POLLED_S)
+            await cluster.restore_record(key, former)
+            unreachable.update(_GONE)
+            owner.scope.cancel()
+            await _check_single(cluster, tasks)
+
+    async def _former_owner_goes_on(self) -> None:
+        """The store loses the record of an owner that it doesn't answer."""
+        async with open_cluster() as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            tasks = await _start_lasting(cluster)
+            others = [cluster.spawn(nursery, name) for name in ('e2', 'e3')]
+            for other in others:
+                other.unreachable.add(_GONE[0])
+                other.unconnected.append(owner)
+            await trio.sleep(_POLLED_S)
+            owner.store_gate.freeze(_LONG_S)
+            cluster.store.state.apply([Write(owner_key(CELL), None)])
+            second = await _next_owner(cluster, besides=owner)
+            await trio.sleep(1)
+            second.scope.cancel()
+            await trio.sleep(_POLLED_S)
+            owner.scope.cancel()
+            await _check_single(cluster, tasks)
+
+
+async def _start_lasting(cluster: Cluster) -> frozenset[TaskId]:
+    """Start a lasting task on each worker; return their names."""
+    lasting = step(3, cpu_millicores=4_000, is_lasting=True, per_worker_limit=1)
+    await cluster.submit(job_request('aa', lasting, payload='serve'))
+    await cluster.wait_until(lambda: len(_at_work(cluster)) == lasting.count)
+    await trio.sleep(_POLLED_S)
+    return _at_work(cluster)
+
+
+def _vanish(cluster: Cluster) -> None:
+    """Let workers lose power and leave the list, and others take their place."""
+    for number, worker_id in enumerate(_GONE):
+        cluster.workers.pop(worker_id)
+        cluster.listings.pop(worker_id)
+        cluster.unlist(worker_id)
+        cluster.nursery.start_soon(cluster.add_worker, f'new-{number}')
+
+
+async def _next_owner(
+    cluster: Cluster, *, besides: Candidate | None = None
+) -> Candidate:
+    """Wait for another owner, and return it once it has loaded the cell."""
+
+    def find() -> Candidate | None:
+        for candidate in cluster.candidates:
+            cell = candidate.cell
+            is_lost = candidate is besides or candidate.scope.cancel_called
+            if not is_lost and cell is not None and cell.is_loaded:
+                return candidate
+        return None
+
+    await cluster.wait_until(lambda: find() is not None)
+    found = find()
+    if found is None:
+        raise AssertionError('the owner was lost at once')
+    return found
+
+
+async def _wait_at_work(
+    cluster: Cluster, tasks: Iterable[TaskId], *, limit_s: float
+) -> None:
+    """Wait until all tasks are at work, each at one worker."""
+    await cluster.wait_until(
+        lambda: _at_work(cluster).issuperset(tasks), limit_s=limit_s
+    )
+
+
+async def _check_single(cluster: Cluster, tasks: Iterable[TaskId]) -> None:
+    """Check until leases have lapsed; then all are at work, at one worker."""
+    end_s = trio.current_time() + 2 * _LEASE_S
+    await cluster.wait_until(
+        lambda: trio.current_time() >= end_s, limit_s=3 * _LEASE_S
+    )
+    cluster.worker_client.unreachable.clear()
+    for candidate in cluster.candidates:
+        candidate.unreachable.clear()
+    await _wait_at_work(cluster, tasks, limit_s=_LEASE_S)
+
+
+def _at_work(cluster: Cluster) -> frozenset[TaskId]:
+    return frozenset(
+        task for worker in cluster.workers.values() for task in worker.running
+    )
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -28,6 +28,7 @@
     test_restarted_workers,
     test_slow_owner,
     test_unreachable_from_owner,
+    test_vanished_workers,
 )
 from tests.cells.mutants import MUTANTS
 
@@ -43,6 +44,7 @@
     test_unreachable_from_owner,
     test_calls_through_entries,
     test_slow_owner,
+    test_vanished_workers,
     test_histories,
 )
 
