Count only owners that gave way when an owner decides how long to wait

What callers see: after planned or other changes of the owner, an owner that reaches neither workers nor entries, only the store, keeps the cell; accepted jobs wait though another entry could serve them.

Cause: the wait until such an owner gives way doubles with each change of the owner in 2 min. It is meant for entries that leave the cell to each other in vain, but stops, kills and take-overs counted as well: after four restarts it is 32 s to 64 s instead of 2 s.

Change: an owner that gives way writes that beside its record, and only these writes count.

Evidence: test_owners_were_stopped_before fails before (too slow, 10 s) and passes now; the tests of owners that reach nobody still pass.

--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -38,8 +38,8 @@
     the leases of runs. No run starts in the ``evacuated`` data centres, a view
     that follows the operators' requests. ``has_other_entries`` tells whether
     other entries are known, ``is_isolated`` whether this one has tried to reach
-    them and reaches none, and ``owner_changes_count`` how often the cell has
-    changed its owner lately. ``lapsing_view`` holds the marks that owners have
+    them and reaches none, and ``given_way_count`` how often owners have
+    given the cell up lately. ``lapsing_view`` holds the marks that owners have
     stored.
     """
 
@@ -55,7 +55,7 @@
     evacuated: AbstractSet[DataCentreId] = frozenset()
     has_other_entries: Callable[[], bool] = _never
     is_isolated: Callable[[], bool] = _never
-    owner_changes_count: Callable[[], int] = int
+    given_way_count: Callable[[], int] = int
     lapsing_view: LapsingView = field(default_factory=LapsingView)
 
     @property
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -75,7 +75,7 @@
         return self._reach.must_give_way(
             self.worker_registry.fleet,
             is_isolated=self.context.is_isolated(),
-            changes_count=self.context.owner_changes_count(),
+            given_way_count=self.context.given_way_count(),
             now_s=now_s,
         )
 
--- a/src/marjoramwharf/cells/owner_reach.py
+++ b/src/marjoramwharf/cells/owner_reach.py
@@ -13,7 +13,7 @@
 
 # An owner that reaches less than this share of the listed workers, and no more
 # of them as time goes on, gives the cell up after a while: soon if it reaches no
-# other entry either, and later with each recent change of the owner.
+# other entry either, and later with each time that an owner has given way lately.
 _MIN_REACHED_SHARE = 0.5
 _PATIENCE_S = 8.0
 _ISOLATED_PATIENCE_S = 2.0
@@ -31,13 +31,13 @@
         fleet: Fleet,
         *,
         is_isolated: bool,
-        changes_count: int,
+        given_way_count: int,
         now_s: float,
     ) -> bool:
         """Whether the owner should give the cell up.
 
-        An owner that ``is_isolated`` reaches no other entry. The owner has
-        changed ``changes_count`` times lately.
+        An owner that ``is_isolated`` reaches no other entry. Owners have given
+        way ``given_way_count`` times lately.
         """
         listed = [
             worker
@@ -53,5 +53,5 @@
         if is_more or self._too_few_since_s is None:
             self._too_few_since_s = now_s
         patience_s = _ISOLATED_PATIENCE_S if is_isolated else _PATIENCE_S
-        patience_s *= 2.0**changes_count
+        patience_s *= 2.0**given_way_count
         return now_s - self._too_few_since_s >= patience_s
--- a/src/marjoramwharf/cells/owner_view.py
+++ b/src/marjoramwharf/cells/owner_view.py
@@ -1,7 +1,8 @@
 """This entry's view of the owners of cells, as their records in the store show.
 
-A change of the owner is counted, so that entries which take the ownership from
-each other in vain do it less and less often.
+It is counted how often an owner has given way, so that entries which leave the
+ownership to each other in vain do it less and less often. Other changes of the
+owner, such as planned ones, don't count.
 """
 
 from __future__ import annotations
@@ -18,9 +19,10 @@
     EntryRecord,
     LapsingRecord,
     decode,
+    is_giving_way_key,
     is_lapsing_key,
-    parse_lapsing_key,
     parse_owner_key,
+    parse_owner_related_key,
 )
 from marjoramwharf.errors import JournalDamaged
 from marjoramwharf.links.store import StoreEvent, WatchBatch
@@ -28,9 +30,9 @@
 
 _LOG = part_logger('owner')
 
-# Changes of an owner count for this long, and so many at most.
-_CHANGES_WINDOW_S = 120.0
-_MAX_CHANGES_COUNT = 8
+# That an owner gave way counts for this long, and so often at most.
+_GIVING_WAY_WINDOW_S = 120.0
+_MAX_COUNTED = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,9 +61,8 @@
     is_misled: bool = False
     lapsing: LapsingView = field(default_factory=LapsingView)
     _ended_processes: dict[str, int] = field(default_factory=dict)
-    _former_owners: dict[CellId, CurrentOwner] = field(default_factory=dict)
     _revisions: dict[CellId, deque[int]] = field(default_factory=dict)
-    _changes_s: dict[CellId, deque[float]] = field(default_factory=dict)
+    _given_way_s: dict[CellId, dict[int, float]] = field(default_factory=dict)
     _change_event: trio.Event = field(default_factory=trio.Event)
 
     async def apply(self, batch: WatchBatch) -> None:
@@ -87,10 +88,10 @@
                 self._ended_processes[owner.record.secret] = owner.revision
                 self._notify_waiters()
 
-    def changes_count(self, cell: CellId, *, now_s: float) -> int:
-        """Return how often a cell has changed its owner lately."""
-        changes_s = self._changes_s.get(cell, ())
-        return sum(now_s - at_s < _CHANGES_WINDOW_S for at_s in changes_s)
+    def given_way_count(self, cell: CellId, *, now_s: float) -> int:
+        """Return how often an owner of a cell has given way lately."""
+        given_way_s = self._given_way_s.get(cell, {}).values()
+        return sum(now_s - at_s < _GIVING_WAY_WINDOW_S for at_s in given_way_s)
 
     def fence_before(self, cell: CellId, fence: int) -> int | None:
         """Return the fence of the owner before one, if it has been seen."""
@@ -110,6 +111,9 @@
         if is_lapsing_key(event.key):
             self._apply_lapsing(event)
             return
+        if is_giving_way_key(event.key):
+            self._count_giving_way(event)
+            return
         cell = parse_owner_key(event.key)
         self.ended_revisions.pop(cell, None)
         if event.stored is None:
@@ -119,11 +123,11 @@
         owner = CurrentOwner(record, event.stored.mod_revision)
         self.owners[cell] = owner
         self._detect_living(owner)
-        self._count_change(cell, owner)
+        self._remember_fence(cell, owner)
 
     def _apply_lapsing(self, event: StoreEvent) -> None:
         """Follow the record beside an owner's; raises ``JournalDamaged``."""
-        cell = parse_lapsing_key(event.key)
+        cell = parse_owner_related_key(event.key)
         if event.stored is not None:
             record = decode(event.stored.body, LapsingRecord, key=event.key)
             self.lapsing.observe(cell, record, now_s=boot_s())
@@ -136,18 +140,21 @@
             _LOG.warning('owner had not ended', owner=owner.record.entry_id)
             self.is_misled = True
 
-    def _count_change(self, cell: CellId, owner: CurrentOwner) -> None:
-        """Count an owner that follows another one; both may be one process."""
-        former = self._former_owners.get(cell)
-        self._former_owners[cell] = owner
+    def _count_giving_way(self, event: StoreEvent) -> None:
+        """Count a write by an owner that gave way, once for each revision."""
+        cell = parse_owner_related_key(event.key)
+        if event.stored is None:
+            return
+        given_way_s = self._given_way_s.setdefault(cell, {})
+        given_way_s.setdefault(event.stored.mod_revision, boot_s())
+        if len(given_way_s) > _MAX_COUNTED:
+            given_way_s.pop(min(given_way_s))
+
+    def _remember_fence(self, cell: CellId, owner: CurrentOwner) -> None:
+        """Remember the fences of the latest two owners."""
         revisions = self._revisions.setdefault(cell, deque(maxlen=2))
         if owner.revision not in revisions:
             revisions.append(owner.revision)
-        if former is not None and former.revision != owner.revision:
-            changes_s = self._changes_s.setdefault(
-                cell, deque(maxlen=_MAX_CHANGES_COUNT)
-            )
-            changes_s.append(boot_s())
 
     def _notify_waiters(self) -> None:
         self._change_event.set()
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -20,6 +20,7 @@
     CellId,
     EntryRecord,
     encode,
+    giving_way_key,
     owner_key,
 )
 from marjoramwharf.errors import (
@@ -68,7 +69,8 @@
 
     The record was known to be written at ``acquired_s``. Before
     ``valid_until_s`` the lease can't have lapsed. Both are times of the boot
-    clock. Cancelling ``scope`` ends the tenure.
+    clock. Cancelling ``scope`` ends the tenure. The owner ``gives_way`` if it
+    leaves the cell to others because it can't serve it.
     """
 
     cell: CellId
@@ -76,6 +78,7 @@
     revision: int
     valid_until_s: float
     acquired_s: float
+    gives_way: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
@@ -156,6 +159,7 @@
         self._gives_way_until_s = now_s + _GIVE_WAY_PAUSE_S
         _LOG.warning('giving way', cell=self.cell)
         if self.tenure is not None:
+            self.tenure.gives_way = True
             self.tenure.scope.cancel()
 
     async def _wait_until_replaceable(self) -> None:
@@ -261,10 +265,17 @@
             self.view.owners.pop(self.cell)
         with trio.move_on_after(_RETRY_PAUSE_S):
             try:
-                await self.store.revoke_lease(tenure.lease)
+                await self._end_tenure(tenure)
             except Failure as failure:
                 _LOG.info('owner lease not revoked', error=str(failure))
 
+    async def _end_tenure(self, tenure: Tenure) -> None:
+        """Tell whether the owner gave way, and revoke the lease."""
+        if tenure.gives_way:
+            write = Write(giving_way_key(self.cell), self._encode_record())
+            await self.store.commit([tenure.guard], [write])
+        await self.store.revoke_lease(tenure.lease)
+
     async def _renew_lease(self, tenure: Tenure) -> None:
         """Renew the lease periodically; end the tenure when it has lapsed."""
         pause_s = self.ttl_ms / _MS_PER_S / _RENEWALS_PER_TTL
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -32,6 +32,7 @@
 ENTRIES_PREFIX = 'mw/entry/'
 
 _LAPSING_SUFFIX = '/lapsing'
+_GIVING_WAY_SUFFIX = '/giving-way'
 
 _Model = TypeVar('_Model')  # any record, not an interference model
 
@@ -142,9 +143,23 @@
     return key.endswith(_LAPSING_SUFFIX)
 
 
-def parse_lapsing_key(key: str) -> CellId:
-    """Return the cell of such a key; raises ``JournalDamaged``."""
-    return parse_owner_key(key.removesuffix(_LAPSING_SUFFIX))
+def parse_owner_related_key(key: str) -> CellId:
+    """Return the cell of a key next to an owner's; raises ``JournalDamaged``.
+
+    >>> parse_owner_related_key(lapsing_key(CellId(3)))
+    3
+    """
+    return parse_owner_key(key.rpartition('/')[0])
+
+
+def giving_way_key(cell: CellId) -> str:
+    """Key that an owner writes before it gives the cell up to others."""
+    return f'{owner_key(cell)}{_GIVING_WAY_SUFFIX}'
+
+
+def is_giving_way_key(key: str) -> bool:
+    """Whether a key next to the owners' keys is one of ``giving_way_key``."""
+    return key.endswith(_GIVING_WAY_SUFFIX)
 
 
 def entry_key(slot: int) -> str:
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -261,7 +261,7 @@
                 evacuated=self.operators.evacuations.data_centres,
                 has_other_entries=self.worker_paths.has_other_entries,
                 is_isolated=self.worker_paths.is_isolated,
-                owner_changes_count=lambda: self.view.changes_count(
+                given_way_count=lambda: self.view.given_way_count(
                     tenure.cell, now_s=boot_s()
                 ),
                 lapsing_view=self.view.lapsing,
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -346,7 +346,7 @@
                 evacuated=candidate.evacuations.data_centres,
                 has_other_entries=lambda: len(self.candidates) > 1,
                 is_isolated=lambda: candidate.is_isolated,
-                owner_changes_count=lambda: candidate.view.changes_count(
+                given_way_count=lambda: candidate.view.given_way_count(
                     CELL, now_s=boot_s()
                 ),
                 lapsing_view=candidate.view.lapsing,
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -296,7 +296,7 @@
         f'{OwnerReach.__module__}._PATIENCE_S', 0
     ),
     'owners that reach nobody give way later each time': lambda: patch.object(
-        OwnerView, 'changes_count', _none
+        OwnerView, 'given_way_count', _none
     ),
     'a job that cannot be scheduled hides no other': lambda: patch.object(
         Inbox, '_left_out_on_error', nullcontext
--- a/tests/cells/test_giving_way.py
+++ b/tests/cells/test_giving_way.py
@@ -15,6 +15,7 @@
 from marjoramwharf.links.store import Committed, Conflict, Guard, Write
 from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
+    Cluster,
     job_request,
     open_cluster,
     run_with_clock,
@@ -23,6 +24,7 @@
 _READ_TIMEOUT_S = 0.6
 _COMMIT_S = 0.02
 _CHANGE_PERIOD_S = 0.005
+_STOPPED_OWNERS_COUNT = 4
 
 
 async def _fail_to_load(_tenure: Tenure) -> None:
@@ -42,6 +44,10 @@
         await trio.sleep(_CHANGE_PERIOD_S)
 
 
+async def _wait_until_owner(cluster: Cluster, candidate: Candidate) -> None:
+    await cluster.wait_until(lambda: candidate.cell is not None)
+
+
 def _campaign_of(candidate: Candidate) -> Campaign:
     if candidate.campaign is None:
         raise AssertionError('the candidate does not campaign')
@@ -63,6 +69,29 @@
         """Guards against an owner that can't plan where another one could."""
         run_with_clock(self._unprepared_entry)
 
+    def test_owners_were_stopped_before(self) -> None:
+        """Guards against patience that grows with planned changes of owner."""
+        run_with_clock(self._owners_were_stopped_before)
+
+    async def _owners_were_stopped_before(self) -> None:
+        """The last owner reaches nobody but the store."""
+        async with open_cluster() as (cluster, nursery):
+            cut_off = cluster.spawn(nursery, 'cut-off')
+            _campaign_of(cut_off).has_resigned = True
+            for number in range(_STOPPED_OWNERS_COUNT):
+                stopped = cluster.spawn(nursery, f'e{number}')
+                await _wait_until_owner(cluster, stopped)
+                await _campaign_of(stopped).resign()
+                stopped.scope.cancel()
+            cut_off.unreachable.update(cluster.workers)
+            cut_off.is_isolated = True
+            _campaign_of(cut_off).has_resigned = False
+            await _wait_until_owner(cluster, cut_off)
+            cluster.spawn(nursery, 'sound')
+            request = job_request('aa')
+            await cluster.submit(request)
+            await cluster.wait_until_done(request, limit_s=10)
+
     async def _unprepared_entry(self) -> None:
         """It is the owner only if no other entry campaigns."""
         async with open_cluster() as (cluster, nursery):
