Make the tests of marks fail without each precaution

Cause: in the tests that guard against a second run no other worker had room for the tasks (one of a step per worker), so two mutants were missed: a new owner that marks at once, and a second mark equal to the first one.

Change: spare workers; an owner in between and a former owner that goes on are set up so that the wrong code runs a task twice; tests of the marks without a cell.

--- a/tests/cells/test_vanished_workers.py
+++ b/tests/cells/test_vanished_workers.py
@@ -23,6 +23,7 @@
 )
 
 _GONE = (WorkerId('w1'), WorkerId('w2'))
+_SPARE = ('w4', 'w5')
 _POLLED_S = 2
 
 # The owner has lost a worker, and has told it, this long after it vanished.
@@ -161,25 +162,26 @@
             await _check_single(cluster, tasks)
 
     async def _unknowing_owner_in_between(self) -> None:
-        """The owner in between leaves the record as it is."""
+        """The record is as if the owner in between had left it alone."""
         async with open_cluster() as (cluster, nursery):
             owner = cluster.spawn(nursery, 'e1')
             tasks = await _start_lasting(cluster)
             cluster.spawn(nursery, 'e2')
+            third = _spawn_reserve(cluster, nursery)
             unreachable = cluster.worker_client.unreachable
             unreachable.update(_GONE)
             await trio.sleep(_TOLD_S)
-            key = lapsing_key(CELL)
-            former = cluster.store.state.stored[key].body
-            owner.scope.cancel()
+            former = cluster.store.state.stored[lapsing_key(CELL)].body
+            seen_s = dict(third.view.lapsing._seen_s)
+            _kill(cluster, owner)
             owner = await _next_owner(cluster)
             unreachable.clear()
             await trio.sleep(_POLLED_S)
-            cluster.spawn(nursery, 'e3')
+            await cluster.restore_record(lapsing_key(CELL), former)
             await trio.sleep(_POLLED_S)
-            await cluster.restore_record(key, former)
+            third.view.lapsing._seen_s.update(seen_s)
             unreachable.update(_GONE)
-            owner.scope.cancel()
+            _replace(cluster, owner, third)
             await _check_single(cluster, tasks)
 
     async def _former_owner_goes_on(self) -> None:
@@ -187,37 +189,66 @@
         async with open_cluster() as (cluster, nursery):
             owner = cluster.spawn(nursery, 'e1')
             tasks = await _start_lasting(cluster)
-            others = [cluster.spawn(nursery, name) for name in ('e2', 'e3')]
-            for other in others:
-                other.unreachable.add(_GONE[0])
-                other.unconnected.append(owner)
+            second = cluster.spawn(nursery, 'e2')
+            second.unreachable.update(cluster.workers)
+            second.is_isolated = True
+            third = _spawn_reserve(cluster, nursery)
+            third.unreachable.update(_GONE)
+            third.unconnected.extend((owner, second))
             await trio.sleep(_POLLED_S)
             owner.store_gate.freeze(_LONG_S)
+            owner.unreachable.update(cluster.workers.keys() - set(_GONE))
+            owner.is_isolated = True
             cluster.store.state.apply([Write(owner_key(CELL), None)])
-            second = await _next_owner(cluster, besides=owner)
+            await _next_owner(cluster, besides=owner)
             await trio.sleep(1)
-            second.scope.cancel()
+            _replace(cluster, second, third)
             await trio.sleep(_POLLED_S)
             owner.scope.cancel()
             await _check_single(cluster, tasks)
 
 
 async def _start_lasting(cluster: Cluster) -> frozenset[TaskId]:
-    """Start a lasting task on each worker; return their names."""
+    """Start a lasting task on each worker; return their names.
+
+    Then add workers that could run the tasks of others.
+    """
     lasting = step(3, cpu_millicores=4_000, is_lasting=True, per_worker_limit=1)
     await cluster.submit(job_request('aa', lasting, payload='serve'))
     await cluster.wait_until(lambda: len(_at_work(cluster)) == lasting.count)
+    for name in _SPARE:
+        await cluster.add_worker(name)
     await trio.sleep(_POLLED_S)
     return _at_work(cluster)
 
 
 def _vanish(cluster: Cluster) -> None:
-    """Let workers lose power and leave the list, and others take their place."""
-    for number, worker_id in enumerate(_GONE):
+    """Let workers lose power and leave the list."""
+    for worker_id in _GONE:
         cluster.workers.pop(worker_id)
         cluster.listings.pop(worker_id)
         cluster.unlist(worker_id)
-        cluster.nursery.start_soon(cluster.add_worker, f'new-{number}')
+
+
+def _spawn_reserve(cluster: Cluster, nursery: trio.Nursery) -> Candidate:
+    """Spawn an entry that doesn't campaign yet."""
+    candidate = cluster.spawn(nursery, 'e3')
+    if candidate.campaign is not None:
+        candidate.campaign.has_resigned = True
+    return candidate
+
+
+def _replace(cluster: Cluster, owner: Candidate, reserve: Candidate) -> None:
+    """Kill the owner, so that the reserve is the next one."""
+    if reserve.campaign is not None:
+        reserve.campaign.has_resigned = False
+    _kill(cluster, owner)
+
+
+def _kill(cluster: Cluster, owner: Candidate) -> None:
+    """Kill the owner; the store takes its record away at once."""
+    owner.scope.cancel()
+    cluster.store.state.apply([Write(owner_key(CELL), None)])
 
 
 async def _next_owner(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -22,6 +22,7 @@
     test_connection_use,
     test_evacuations,
     test_histories,
+    test_lapsing_workers,
     test_late_answers,
     test_malformed_records,
     test_next_incarnation,
@@ -45,6 +46,7 @@
     test_calls_through_entries,
     test_slow_owner,
     test_vanished_workers,
+    test_lapsing_workers,
     test_histories,
 )
 
