--- a/tests/cells/test_vanished_workers.py
+++ b/tests/cells/test_vanished_workers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import Iterable
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import trio
 
@@ -14,7 +16,6 @@
 from tests.cells.cluster import (
     CELL,
     HOLD_MS,
-    TTL_MS,
     Cluster,
     job_request,
     open_cluster,
@@ -24,6 +25,7 @@
 
 _GONE = (WorkerId('w1'), WorkerId('w2'))
 _SPARE = ('w4', 'w5')
+_MS_PER_S = 1_000
 _POLLED_S = 2
 
 # The owner has lost a worker, and has told it, this long after it vanished.
@@ -33,7 +35,7 @@
 _AWAY_LIMIT_S = 6
 
 # A lease of the former owner and the time until it noticed that it lost the path.
-_LEASE_S = HOLD_MS / 1_000 + 4
+_LEASE_S = HOLD_MS / _MS_PER_S + 4
 
 # Owners that follow each other before their own leases could be waited for.
 _SHORT_TENURE_S = 3
@@ -78,121 +80,105 @@
         run_with_clock(self._former_owner_goes_on)
 
     async def _owner_is_lost(self) -> None:
-        async with open_cluster() as (cluster, nursery):
-            owner = cluster.spawn(nursery, 'e1')
-            tasks = await _start_lasting(cluster)
-            cluster.spawn(nursery, 'e2')
-            _vanish(cluster)
+        async with _open_scene() as scene:
+            scene.cluster.spawn(scene.nursery, 'e2')
+            _vanish(scene.cluster)
             await trio.sleep(_TOLD_S)
-            owner.scope.cancel()
-            await _wait_at_work(cluster, tasks, limit_s=_AWAY_LIMIT_S)
+            scene.owner.scope.cancel()
+            await scene.wait_at_work(limit_s=_AWAY_LIMIT_S)
 
     async def _owners_follow_each_other(self) -> None:
-        async with open_cluster() as (cluster, nursery):
-            owner = cluster.spawn(nursery, 'e0')
-            tasks = await _start_lasting(cluster)
-            names = [f'e{number}' for number in range(1, _OWNERS_COUNT)]
+        async with _open_scene() as scene:
+            owner = scene.owner
+            names = [f'e{number}' for number in range(2, _OWNERS_COUNT + 1)]
             for name in names:
-                cluster.spawn(nursery, name)
-            _vanish(cluster)
+                scene.cluster.spawn(scene.nursery, name)
+            _vanish(scene.cluster)
             await trio.sleep(_TOLD_S)
             for _ in names:
                 owner.scope.cancel()
-                owner = await _next_owner(cluster)
+                owner = await _next_owner(scene.cluster)
                 await trio.sleep(_SHORT_TENURE_S)
-            await _wait_at_work(cluster, tasks, limit_s=_AWAY_LIMIT_S)
+            await scene.wait_at_work(limit_s=_AWAY_LIMIT_S)
 
     async def _runs_on(self) -> None:
-        async with open_cluster() as (cluster, nursery):
-            owner = cluster.spawn(nursery, 'e1')
-            tasks = await _start_lasting(cluster)
-            cluster.spawn(nursery, 'e2')
-            cluster.worker_client.unreachable.update(_GONE)
+        async with _open_scene() as scene:
+            scene.cluster.spawn(scene.nursery, 'e2')
+            scene.cut()
             await trio.sleep(_TOLD_S)
-            owner.scope.cancel()
-            await _wait_at_work(cluster, tasks, limit_s=_LEASE_S + TTL_MS)
+            scene.owner.scope.cancel()
+            await scene.check_single()
 
     async def _reached_again_for_a_while(self) -> None:
-        async with open_cluster() as (cluster, nursery):
-            owner = cluster.spawn(nursery, 'e1')
-            tasks = await _start_lasting(cluster)
-            cluster.spawn(nursery, 'e2')
-            unreachable = cluster.worker_client.unreachable
-            unreachable.update(_GONE)
+        async with _open_scene() as scene:
+            scene.cluster.spawn(scene.nursery, 'e2')
+            scene.cut()
             await trio.sleep(_TOLD_S)
-            unreachable.clear()
+            scene.join()
             await trio.sleep(_POLLED_S)
-            unreachable.update(_GONE)
-            owner.scope.cancel()
-            await _check_single(cluster, tasks)
+            scene.cut()
+            scene.owner.scope.cancel()
+            await scene.check_single()
 
     async def _mark_can_not_be_removed(self) -> None:
-        async with open_cluster() as (cluster, nursery):
-            owner = cluster.spawn(nursery, 'e1')
-            tasks = await _start_lasting(cluster)
-            cluster.spawn(nursery, 'e2')
-            unreachable = cluster.worker_client.unreachable
-            unreachable.update(_GONE)
+        async with _open_scene() as scene:
+            scene.cluster.spawn(scene.nursery, 'e2')
+            scene.cut()
             await trio.sleep(_TOLD_S)
-            cluster.store.is_down = True
-            unreachable.clear()
+            scene.cluster.store.is_down = True
+            scene.join()
             await trio.sleep(1)
-            unreachable.update(_GONE)
-            owner.scope.cancel()
-            cluster.store.is_down = False
-            await _check_single(cluster, tasks)
+            scene.cut()
+            scene.owner.scope.cancel()
+            scene.cluster.store.is_down = False
+            await scene.check_single()
 
     async def _late_write_of_a_mark(self) -> None:
-        async with open_cluster() as (cluster, nursery):
-            owner = cluster.spawn(nursery, 'e1')
-            tasks = await _start_lasting(cluster)
-            cluster.spawn(nursery, 'e2')
-            unreachable = cluster.worker_client.unreachable
-            cluster.store.commits_to_delay = 1
-            unreachable.update(_GONE)
-            while not cluster.store.delayed_commits:
+        async with _open_scene() as scene:
+            scene.cluster.spawn(scene.nursery, 'e2')
+            store = scene.cluster.store
+            store.commits_to_delay = 1
+            scene.cut()
+            while not store.delayed_commits:
                 await trio.sleep(0.01)
-            unreachable.clear()
+            scene.join()
             await trio.sleep(_POLLED_S)
-            for apply in cluster.store.delayed_commits:
+            for apply in store.delayed_commits:
                 apply()
             await trio.sleep(_TOLD_S)
-            unreachable.update(_GONE)
-            owner.scope.cancel()
-            await _check_single(cluster, tasks)
+            scene.cut()
+            scene.owner.scope.cancel()
+            await scene.check_single()
 
     async def _unknowing_owner_in_between(self) -> None:
         """The record is as if the owner in between had left it alone."""
-        async with open_cluster() as (cluster, nursery):
-            owner = cluster.spawn(nursery, 'e1')
-            tasks = await _start_lasting(cluster)
-            cluster.spawn(nursery, 'e2')
-            third = _spawn_reserve(cluster, nursery)
-            unreachable = cluster.worker_client.unreachable
-            unreachable.update(_GONE)
+        async with _open_scene() as scene:
+            cluster = scene.cluster
+            cluster.spawn(scene.nursery, 'e2')
+            third = _spawn_reserve(scene)
+            scene.cut()
             await trio.sleep(_TOLD_S)
             former = cluster.store.state.stored[lapsing_key(CELL)].body
             seen_s = dict(third.view.lapsing._seen_s)
-            _kill(cluster, owner)
-            owner = await _next_owner(cluster)
-            unreachable.clear()
+            _kill(cluster, scene.owner)
+            second = await _next_owner(cluster)
+            scene.join()
             await trio.sleep(_POLLED_S)
             await cluster.restore_record(lapsing_key(CELL), former)
             await trio.sleep(_POLLED_S)
             third.view.lapsing._seen_s.update(seen_s)
-            unreachable.update(_GONE)
-            _replace(cluster, owner, third)
-            await _check_single(cluster, tasks)
+            scene.cut()
+            _replace(cluster, second, third)
+            await scene.check_single()
 
     async def _former_owner_goes_on(self) -> None:
         """The store loses the record of an owner that it doesn't answer."""
-        async with open_cluster() as (cluster, nursery):
-            owner = cluster.spawn(nursery, 'e1')
-            tasks = await _start_lasting(cluster)
-            second = cluster.spawn(nursery, 'e2')
+        async with _open_scene() as scene:
+            cluster, owner = scene.cluster, scene.owner
+            second = cluster.spawn(scene.nursery, 'e2')
             second.unreachable.update(cluster.workers)
             second.is_isolated = True
-            third = _spawn_reserve(cluster, nursery)
+            third = _spawn_reserve(scene)
             third.unreachable.update(_GONE)
             third.unconnected.extend((owner, second))
             await trio.sleep(_POLLED_S)
@@ -205,7 +191,51 @@
             _replace(cluster, second, third)
             await trio.sleep(_POLLED_S)
             owner.scope.cancel()
-            await _check_single(cluster, tasks)
+            await scene.check_single()
+
+
+@dataclass
+class _Scene:
+    """An owner, and lasting tasks at workers that it may lose."""
+
+    cluster: Cluster
+    nursery: trio.Nursery
+    owner: Candidate
+    tasks: frozenset[TaskId]
+
+    def cut(self) -> None:
+        """Cut the paths to workers, which run on."""
+        self.cluster.worker_client.unreachable.update(_GONE)
+
+    def join(self) -> None:
+        """Open the paths to all workers."""
+        self.cluster.worker_client.unreachable.clear()
+        for candidate in self.cluster.candidates:
+            candidate.unreachable.clear()
+
+    async def wait_at_work(self, *, limit_s: float) -> None:
+        """Wait until all tasks are at work, each at one worker."""
+        await self.cluster.wait_until(
+            lambda: _at_work(self.cluster).issuperset(self.tasks),
+            limit_s=limit_s,
+        )
+
+    async def check_single(self) -> None:
+        """Check until leases have lapsed; then all are at work, at one worker."""
+        end_s = trio.current_time() + 2 * _LEASE_S
+        await self.cluster.wait_until(
+            lambda: trio.current_time() >= end_s, limit_s=3 * _LEASE_S
+        )
+        self.join()
+        await self.wait_at_work(limit_s=_LEASE_S)
+
+
+@asynccontextmanager
+async def _open_scene() -> AsyncIterator[_Scene]:
+    async with open_cluster() as (cluster, nursery):
+        owner = cluster.spawn(nursery, 'e1')
+        tasks = await _start_lasting(cluster)
+        yield _Scene(cluster, nursery, owner, tasks)
 
 
 async def _start_lasting(cluster: Cluster) -> frozenset[TaskId]:
@@ -230,9 +260,9 @@
         cluster.unlist(worker_id)
 
 
-def _spawn_reserve(cluster: Cluster, nursery: trio.Nursery) -> Candidate:
+def _spawn_reserve(scene: _Scene) -> Candidate:
     """Spawn an entry that doesn't campaign yet."""
-    candidate = cluster.spawn(nursery, 'e3')
+    candidate = scene.cluster.spawn(scene.nursery, 'e3')
     if candidate.campaign is not None:
         candidate.campaign.has_resigned = True
     return candidate
@@ -271,27 +301,6 @@
     return found
 
 
-async def _wait_at_work(
-    cluster: Cluster, tasks: Iterable[TaskId], *, limit_s: float
-) -> None:
-    """Wait until all tasks are at work, each at one worker."""
-    await cluster.wait_until(
-        lambda: _at_work(cluster).issuperset(tasks), limit_s=limit_s
-    )
-
-
-async def _check_single(cluster: Cluster, tasks: Iterable[TaskId]) -> None:
-    """Check until leases have lapsed; then all are at work, at one worker."""
-    end_s = trio.current_time() + 2 * _LEASE_S
-    await cluster.wait_until(
-        lambda: trio.current_time() >= end_s, limit_s=3 * _LEASE_S
-    )
-    cluster.worker_client.unreachable.clear()
-    for candidate in cluster.candidates:
-        candidate.unreachable.clear()
-    await _wait_at_work(cluster, tasks, limit_s=_LEASE_S)
-
-
 def _at_work(cluster: Cluster) -> frozenset[TaskId]:
     return frozenset(
         task for worker in cluster.workers.values() for task in worker.running
