Don't count at the start that an owner gave way at some time

What callers would see: an entry that has just started and owns the cell without any path keeps it twice as long if an owner has ever given way. Found by reading afresh.

Cause: the write by which an owner tells that it gave way stays in the store, and an entry took what it read at its start for a write of that moment.

Change: such a write counts only if the entry sees it come. The docstring of the marks names all its fields.

Evidence: test_owner_gave_way_long_ago fails before (count 1) and passes now; 23 tests of the modules concerned pass.

--- a/src/marjoramwharf/cells/lapsing_workers.py
+++ b/src/marjoramwharf/cells/lapsing_workers.py
@@ -48,7 +48,8 @@
     ``former_fence`` is that of the owner before, if this entry knows it. Marks
     that another one vouched for are not relied on: an owner in between may not
     have known of them. ``_confirmed`` are the marks that the store holds for
-    certain, and ``_possible`` the workers in writes without an answer.
+    certain, and ``_possible`` the workers in writes without an answer. The
+    record ``_is_vouched`` for once it has the fence of this owner.
     """
 
     store: PollingStore
@@ -96,9 +97,9 @@
             fence=record.fence,
             former_fence=self.former_fence,
             count=len(record.marks),
-            oldest_s=round(now_s - min(self._inherited_s.values()), 3)
-            if self._inherited_s
-            else None,
+            oldest_s=round(
+                now_s - min(self._inherited_s.values(), default=now_s), 3
+            ),
         )
         self._wake_event.set()
 
--- a/src/marjoramwharf/cells/owner_view.py
+++ b/src/marjoramwharf/cells/owner_view.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -141,12 +142,16 @@
             self.is_misled = True
 
     def _count_giving_way(self, event: StoreEvent) -> None:
-        """Count a write by an owner that gave way, once for each revision."""
+        """Count a write by an owner that gave way, once for each revision.
+
+        One that is found at the start may be from long ago.
+        """
         cell = parse_owner_related_key(event.key)
         if event.stored is None:
             return
+        at_s = boot_s() if self.is_loaded else -math.inf
         given_way_s = self._given_way_s.setdefault(cell, {})
-        given_way_s.setdefault(event.stored.mod_revision, boot_s())
+        given_way_s.setdefault(event.stored.mod_revision, at_s)
         if len(given_way_s) > _MAX_COUNTED:
             given_way_s.pop(min(given_way_s))
 
--- a/tests/cells/test_giving_way.py
+++ b/tests/cells/test_giving_way.py
@@ -15,6 +15,7 @@
 from marjoramwharf.links.store import Committed, Conflict, Guard, Write
 from tests.cells.candidate import Candidate
 from tests.cells.cluster import (
+    CELL,
     Cluster,
     job_request,
     open_cluster,
@@ -73,6 +74,22 @@
         """Guards against patience that grows with planned changes of owner."""
         run_with_clock(self._owners_were_stopped_before)
 
+    def test_owner_gave_way_long_ago(self) -> None:
+        """Guards against an entry that counts what it finds at its start."""
+        run_with_clock(self._owner_gave_way_long_ago)
+
+    async def _owner_gave_way_long_ago(self) -> None:
+        async with open_cluster() as (cluster, nursery):
+            first = cluster.spawn(nursery, 'e1')
+            await _wait_until_owner(cluster, first)
+            first.give_way()
+            await trio.sleep(1)
+            second = cluster.spawn(nursery, 'e2')
+            await trio.sleep(1)
+            now_s = trio.current_time()
+            self.assertEqual(1, first.view.given_way_count(CELL, now_s=now_s))
+            self.assertEqual(0, second.view.given_way_count(CELL, now_s=now_s))
+
     async def _owners_were_stopped_before(self) -> None:
         """The last owner reaches nobody but the store."""
         async with open_cluster() as (cluster, nursery):
