Log which worker answers in the place of another one, and who is forgotten

The owner logged neither that it drops a worker nor who answers at its address, so the list being taken for what exists couldn't be told from workers that don't answer. A refusal (421) names the worker that gave it; the owner now reads that and logs 'another worker answers', and 'worker forgotten' with the age of the last report. The logic is unchanged.

--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -90,7 +90,7 @@
         for job in tuple(self.job_table.jobs.values()):
             if job.occurrences:
                 self.stop_surplus_runs(job)
-        self.worker_registry.remove_gone_workers()
+        self.worker_registry.remove_gone_workers(now_s=now_s)
         await remove_finished_jobs(
             self.context.store,
             self.ownership.cell,
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -25,6 +25,7 @@
     WorkerAddress,
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
+from marjoramwharf.ids import WorkerId
 from marjoramwharf.isolation import run_isolated
 from marjoramwharf.links.backoff import Backoff
 from marjoramwharf.logs import part_logger
@@ -83,6 +84,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reports: ReportProcessor = field(init=False)
     _reached_address: WorkerAddress | None = None
+    _replaced_by: WorkerId | None = None
     _poll_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reconnect_pauses: Backoff = field(
         default_factory=lambda: Backoff(
@@ -145,10 +147,10 @@
             self.owner.on_superseded()
             await trio.sleep(_UNREACHABLE_PAUSE_S)
         else:
-            self._record_unreachable(
-                report.outcome,
-                is_replaced=self._is_replaced(report.outcome, fetched.address),
-            )
+            is_replaced = self._is_replaced(report.outcome, fetched.address)
+            if is_replaced:
+                self._record_replaced(report.other_worker_id)
+            self._record_unreachable(report.outcome, is_replaced=is_replaced)
             await trio.sleep(_UNREACHABLE_PAUSE_S)
 
     async def _follow_report(self, address: WorkerAddress) -> None:
@@ -246,6 +248,17 @@
         is_known = known_address is None or known_address == address
         return is_known and outcome is OrderOutcome.OTHER_WORKER
 
+    def _record_replaced(self, other_id: WorkerId | None) -> None:
+        """Log which worker has taken the place of this one, if it tells."""
+        if other_id is None or other_id == self._replaced_by:
+            return
+        self._replaced_by = other_id
+        _LOG.info(
+            'another worker answers',
+            worker=self.worker.worker_id,
+            other=other_id,
+        )
+
     def _record_unreachable(
         self, outcome: OrderOutcome, *, is_replaced: bool = False
     ) -> None:
--- a/src/marjoramwharf/cells/worker_messages.py
+++ b/src/marjoramwharf/cells/worker_messages.py
@@ -147,7 +147,8 @@
 
     ``clock_ms`` is set if the hold was accepted. ``born_ms`` is 0 if the worker
     did not say which incarnation it is. A worker that ``has_all_ends`` listed
-    has no further end to report.
+    has no further end to report. ``other_worker_id`` is the id of another
+    worker that refused the hold at this address, if it told.
     """
 
     outcome: OrderOutcome
@@ -156,6 +157,7 @@
     has_all_ends: bool = True
     running: Sequence[RunReport] = ()
     ended: Sequence[EndReport] = ()
+    other_worker_id: WorkerId | None = None
 
 
 class WorkerClient(Protocol):
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -149,15 +149,25 @@
         link = self.links.get(worker_id)
         return link is None or link.clock.reading_ms is None
 
-    def remove_gone_workers(self) -> None:
+    def remove_gone_workers(self, *, now_s: float) -> None:
         """Remove unreachable, no longer listed workers that have no runs."""
-        for worker_id, worker in tuple(self.fleet.workers.items()):
+        for worker in tuple(self.fleet.workers.values()):
             is_gone = worker.listing.state is WorkerState.GONE
             if is_gone and not worker.runs and not worker.is_reachable:
-                self.links.pop(worker_id).scope.cancel()
-                self.fleet.workers.pop(worker_id)
-                self._pace_controllers.pop(worker_id)
-                self._learners.pop(worker_id)
+                self._remove(worker, now_s)
+
+    def _remove(self, worker: Worker, now_s: float) -> None:
+        worker_id = worker.worker_id
+        _LOG.info(
+            'worker forgotten',
+            worker=worker_id,
+            born_ms=worker.born_ms,
+            silent_s=round(now_s - worker.reported_at_s, 3),
+        )
+        self.links.pop(worker_id).scope.cancel()
+        self.fleet.workers.pop(worker_id)
+        self._pace_controllers.pop(worker_id)
+        self._learners.pop(worker_id)
 
     def _apply_event(self, event: StoreEvent) -> bool:
         """Apply one event; return whether it lists a usable worker.
--- a/src/marjoramwharf/platform/worker_client.py
+++ b/src/marjoramwharf/platform/worker_client.py
@@ -19,7 +19,7 @@
     StopOrder,
     WorkerAddress,
 )
-from marjoramwharf.ids import TaskId
+from marjoramwharf.ids import TaskId, WorkerId
 from marjoramwharf.json_bodies import Amount, Ratio, decode_json
 from marjoramwharf.links.http_client import (
     CallFailed,
@@ -39,6 +39,10 @@
 # Holds the worker id, which the platform calls instance. A worker keeps its id
 # when it starts again, so this doesn't tell its incarnations.
 _INCARNATION_HEADER = 'X-Marjoramwharf-Target-Instance'
+
+# Names the incarnation that refuses a call meant for another one.
+_ANSWERING_HEADER = 'x-marjoramwharf-instance-id'
+_MAX_WORKER_ID_CHARACTERS = 200
 _CONFLICT = 409
 
 # A worker lists at most this many ends at a time.
@@ -216,8 +220,7 @@
         except CallFailed as failure:
             return HoldReport(_outcome_of(failure))
         if not answer.is_success:
-            refusal = _to_order_answer(answer)
-            return HoldReport(refusal.outcome)
+            return _to_refused_report(answer)
         try:
             return _to_hold_report(decode_json(answer.body, _HoldReply))
         except DecodeError as failure:
@@ -306,6 +309,16 @@
     return OrderAnswer(outcome, body.clock_ms)
 
 
+def _to_refused_report(answer: ClientResponse) -> HoldReport:
+    """Return the report of a hold that was refused, and by whom if told."""
+    outcome = _to_order_answer(answer).outcome
+    other = answer.headers.get(_ANSWERING_HEADER, '')
+    is_id = 0 < len(other) <= _MAX_WORKER_ID_CHARACTERS and other.isascii()
+    if outcome is not OrderOutcome.OTHER_WORKER or not is_id:
+        return HoldReport(outcome)
+    return HoldReport(outcome, other_worker_id=WorkerId(other))
+
+
 def _to_hold_report(reply: _HoldReply) -> HoldReport:
     return HoldReport(
         outcome=OrderOutcome.ACCEPTED,
--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -44,7 +44,8 @@
     A hold that waits at a worker while it restarts fails at once, but gets no
     answer until its timeout if the worker is one of ``dark_restarts``.
     The next ``connections_to_lose`` calls to an incarnation find no connection.
-    Another worker listens at each of the ``foreign_hosts``. At most
+    Another worker listens at each of the ``foreign_hosts``, and tells its id if
+    ``answering_ids`` has one for the host. At most
     ``most_orders_in_flight`` start and stop orders were on their way to any
     worker at a time.
     ``holds_count`` is the number of holds that were answered.
@@ -54,6 +55,7 @@
     unreachable: set[WorkerId] = field(default_factory=set)
     dark_restarts: set[WorkerId] = field(default_factory=set)
     foreign_hosts: set[str] = field(default_factory=set)
+    answering_ids: dict[str, WorkerId] = field(default_factory=dict)
     most_orders_in_flight: int = 0
     orders_in_flight: Counter[WorkerId] = field(default_factory=Counter)
     start_answers_to_lose: int = 0
