--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -44,8 +44,8 @@
     A hold that waits at a worker while it restarts fails at once, but gets no
     answer until its timeout if the worker is one of ``dark_restarts``.
     The next ``connections_to_lose`` calls to an incarnation find no connection.
-    Another worker listens at each of the ``foreign_hosts``, and tells its id if
-    ``answering_ids`` has one for the host. At most
+    Another worker listens at each of the ``foreign_hosts``; at the hosts of
+    ``listeners``, only the worker with that id does. At most
     ``most_orders_in_flight`` start and stop orders were on their way to any
     worker at a time.
     ``holds_count`` is the number of holds that were answered.
@@ -55,7 +55,7 @@
     unreachable: set[WorkerId] = field(default_factory=set)
     dark_restarts: set[WorkerId] = field(default_factory=set)
     foreign_hosts: set[str] = field(default_factory=set)
-    answering_ids: dict[str, WorkerId] = field(default_factory=dict)
+    listeners: dict[str, WorkerId] = field(default_factory=dict)
     most_orders_in_flight: int = 0
     orders_in_flight: Counter[WorkerId] = field(default_factory=Counter)
     start_answers_to_lose: int = 0
@@ -164,9 +164,12 @@
         if self._has_ended(worker):
             refusal = await _not_connected()
             return HoldReport(refusal.outcome)
-        if worker.host in self.foreign_hosts:
+        if self._is_other_worker(worker):
             await trio.lowlevel.checkpoint()
-            return HoldReport(OrderOutcome.OTHER_WORKER)
+            return HoldReport(
+                OrderOutcome.OTHER_WORKER,
+                other_worker_id=self.listeners.get(worker.host),
+            )
         sent_s = trio.current_time()
         report = await self._wait_for_report(worker, order, timeout_s)
         if report.outcome is OrderOutcome.ACCEPTED and (
@@ -218,6 +221,11 @@
             return False
         return worker.born_ms != present.born_ms
 
+    def _is_other_worker(self, worker: WorkerAddress) -> bool:
+        """Whether another worker listens at the address of a call."""
+        listener = self.listeners.get(worker.host, worker.worker_id)
+        return worker.host in self.foreign_hosts or listener != worker.worker_id
+
     @contextmanager
     def _in_flight(self, worker_id: WorkerId) -> Iterator[None]:
         self.orders_in_flight[worker_id] += 1
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -39,7 +39,11 @@
     EVACUATIONS_PREFIX,
 )
 from marjoramwharf.scheduling.fleet import Resources, WorkerListing, WorkerState
-from marjoramwharf.scheduling.policy import Configuration, QueuePolicy
+from marjoramwharf.scheduling.policy import (
+    Configuration,
+    QueuePolicy,
+    ServicePolicy,
+)
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 from standins.frozen_process import (
     FreezableStore,
@@ -120,6 +124,7 @@
                 stretch=2,
             ),
         },
+        {SERVICE: ServicePolicy(SERVICE, enforces_capacity=True)},
     )
     worker_client: MemoryWorkerClient = field(init=False)
 
@@ -161,6 +166,14 @@
         await self._store(f'servers/{name}', name.encode())
         return worker
 
+    async def drain_worker(self, name: str) -> None:
+        """List a worker as draining."""
+        worker_id = WorkerId(name)
+        self.listings[worker_id] = replace(
+            self.listings[worker_id], state=WorkerState.DRAINING
+        )
+        await self._store(f'servers/{name}', b'draining')
+
     def restart_worker(
         self, name: str, *, is_dark: bool = False, clock_origin_ms: int = 0
     ) -> SimulatedWorker:
@@ -181,6 +194,27 @@
         self.workers[worker_id] = worker
         return worker
 
+    def replace_worker(self, name: str, new_name: str) -> SimulatedWorker:
+        """Start a worker with another id at the address of one that is lost.
+
+        It is on no list.
+        """
+        self.former_workers.append(self.workers.pop(WorkerId(name)))
+        worker_id = WorkerId(new_name)
+        self.workers[worker_id] = SimulatedWorker(trio.current_time())
+        self.worker_client.listeners[name] = worker_id
+        return self.workers[worker_id]
+
+    async def list_replacement(self, name: str, new_name: str) -> None:
+        """List a worker that has replaced another one, with half its room."""
+        worker_id = WorkerId(new_name)
+        self.listings[worker_id] = replace(
+            self.listings[WorkerId(name)],
+            worker_id=worker_id,
+            capacity=Resources(4_000, 4_000, 0),
+        )
+        await self._store(f'servers/{new_name}', b'')
+
     async def move_listing(self, name: str, host: str) -> None:
         """List a worker at another host."""
         worker_id = WorkerId(name)
