Use the workers that answer, whether the list shows them or not

The owner took the list for what exists: it gave no runs to a worker without a listing, forgot it once it was without runs and silent for a moment, and no later owner learned of it.

A worker now stays in use while it answers, by its last listing. One that answers in the place of a former one, told by its refusal, is tracked with the capacity and the rack of that one, if the workers of its service refuse what they can't hold; it gets runs after 2 s unless it has been listed by then. Its kind isn't known, so tasks that require one aren't placed there. The owner keeps the listings of the workers it knows in the store, so that the next one asks these as well. A worker that neither is listed nor answers for 60 s is forgotten, one that was draining or is replaced at once.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -22,20 +22,20 @@
     PublicJobState,
     StatusAnswer,
 )
-from marjoramwharf.cells.lapsing_workers import LapsingWorkers
 from marjoramwharf.cells.maintenance import Maintenance
-from marjoramwharf.cells.model_saver import ModelSaver
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.preemptor import Preemptor
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.records import inbox_prefix
 from marjoramwharf.cells.run_mover import RunMover
+from marjoramwharf.cells.succession import Succession, build_succession
+from marjoramwharf.cells.unlisted_workers import may_be_replaced
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.ids import JobId, TaskId, WorkerId
 from marjoramwharf.isolation import run_restarted
 from marjoramwharf.links.prefix_watcher import PrefixWatcher
 from marjoramwharf.logs import part_logger
-from marjoramwharf.scheduling.fleet import Fleet, Worker, WorkerState
+from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_state import (
     Job,
@@ -81,8 +81,7 @@
     _ticket_cache: TicketCache = field(init=False)
     maintenance: Maintenance = field(init=False)
     _inbox: Inbox = field(init=False)
-    _lapsing: LapsingWorkers = field(init=False)
-    _model_saver: ModelSaver = field(init=False)
+    _succession: Succession = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the components that share this cell's state."""
@@ -98,6 +97,9 @@
             max_over_target_s=context.bounds.max_over_target_ms / _MS_PER_S,
             drain_ms=context.bounds.drain_ms,
             on_change=self._plan_signal.set,
+            on_worker_changed=lambda worker_id: (
+                self._succession.roster.mark_changed(worker_id)
+            ),
             fleet=Fleet(evacuated=context.evacuated),
         )
         self._progress_writer = ProgressWriter(
@@ -114,15 +116,8 @@
             on_cancelled=self._stop_surplus_runs,
             on_change=self._wake_planner_and_writer,
         )
-        self._lapsing = LapsingWorkers(
-            store=context.store,
-            cell=ownership.cell,
-            ownership_guard=ownership.guard,
-            view=context.lapsing_view,
-            former_fence=ownership.former_fence,
-        )
-        self._model_saver = ModelSaver(
-            context.store, ownership.cell, ownership.guard, self._model
+        self._succession = build_succession(
+            context, ownership, self._model, self.worker_registry.listings
         )
         self._ticket_cache = TicketCache(
             client=context.advice_client,
@@ -158,7 +153,7 @@
             job_table=self.job_table,
             worker_registry=self.worker_registry,
             inbox=self._inbox,
-            lapsing=self._lapsing,
+            lapsing=self._succession.lapsing,
             run_mover=RunMover(
                 worker_registry=self.worker_registry,
                 planner=planner,
@@ -179,8 +174,7 @@
         store = self.context.store
         began_s = boot_s()
         await self._inbox.load(store)
-        await self._lapsing.load()
-        await self._model_saver.load()
+        known_workers = await self._succession.load()
         self.is_loaded = True
         _LOG.info(
             'cell loaded',
@@ -202,16 +196,14 @@
         )
         async with trio.open_nursery() as nursery:
             self.worker_registry.attach(nursery)
+            self.worker_registry.restore(known_workers, now_s=boot_s())
             nursery.start_soon(self._progress_writer.run)
-            nursery.start_soon(self._lapsing.run)
+            self._succession.start(nursery)
             nursery.start_soon(inbox.run)
             nursery.start_soon(workers.run)
             nursery.start_soon(self._plan_loop.run)
             nursery.start_soon(self.maintenance.run)
             nursery.start_soon(run_restarted, 'tickets', self._ticket_cache.run)
-            nursery.start_soon(
-                run_restarted, 'model saver', self._model_saver.run
-            )
 
     async def hand_over(self) -> None:
         """Stop planning runs, and return when the plans made are stored.
@@ -262,11 +254,7 @@
         While no worker is known, every job counts as servable.
         """
         workers = self.worker_registry.fleet.workers_of(request.service)
-        available = [
-            worker
-            for worker in workers
-            if worker.listing.state is not WorkerState.GONE
-        ]
+        available = [worker for worker in workers if worker.is_present]
         return not available or all(
             any(worker.could_ever_run(step) for worker in available)
             for step in request.steps
@@ -283,7 +271,7 @@
         the worker lost.
         """
         is_evacuated = self.worker_registry.fleet.is_evacuated(worker)
-        is_allowed = self._lapsing.may_extend(worker.worker_id)
+        is_allowed = self._succession.lapsing.may_extend(worker.worker_id)
         return self.ownership.is_current() and is_allowed and not is_evacuated
 
     def may_extend_leases(self) -> bool:
@@ -295,7 +283,12 @@
 
         ``True`` holds until the next checkpoint of the caller.
         """
-        return await self._lapsing.allow_extending(worker_id)
+        return await self._succession.lapsing.allow_extending(worker_id)
+
+    def on_replaced(self, former: Worker, worker_id: WorkerId) -> None:
+        """Use a worker that answers in the place of a former one, if allowed."""
+        if may_be_replaced(former, self.context.configuration()):
+            self.worker_registry.adopt(former, worker_id, now_s=boot_s())
 
     def on_superseded(self) -> None:
         """Give up the cell, since a worker has seen a higher fence."""
--- a/src/marjoramwharf/cells/link_context.py
+++ b/src/marjoramwharf/cells/link_context.py
@@ -31,6 +31,9 @@
     def on_polled(self, worker_id: WorkerId) -> None:
         """React to a poll whose report has been processed."""
 
+    def on_replaced(self, former: Worker, worker_id: WorkerId) -> None:
+        """React to a worker that answers in the place of a former one."""
+
     def may_start_runs(self, worker: Worker) -> bool:
         """Whether this entry may send orders to start runs at a worker."""
 
--- a/src/marjoramwharf/cells/owner_reach.py
+++ b/src/marjoramwharf/cells/owner_reach.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-from marjoramwharf.scheduling.fleet import Fleet, WorkerState
+from marjoramwharf.scheduling.fleet import Fleet
 
 # An owner that reaches less than this share of the listed workers, and no more
 # of them as time goes on, gives the cell up after a while: soon if it reaches no
@@ -40,9 +40,7 @@
         way ``given_way_count`` times lately.
         """
         listed = [
-            worker
-            for worker in fleet.workers.values()
-            if worker.listing.state is not WorkerState.GONE
+            worker for worker in fleet.workers.values() if worker.is_listed
         ]
         reached_count = sum(worker.is_reachable for worker in listed)
         is_more = reached_count > self._reached_count
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -187,6 +187,16 @@
     return f'mw/{cell}/model'
 
 
+def roster_prefix(cell: CellId) -> str:
+    """Prefix of the records of the workers that the owner knows."""
+    return f'mw/{cell}/worker/'
+
+
+def roster_key(cell: CellId, part: int) -> str:
+    """Key of one part of the known workers."""
+    return f'{roster_prefix(cell)}{part}'
+
+
 def progress_prefix(cell: CellId) -> str:
     """Prefix of the progress of all jobs of a cell."""
     return f'mw/{cell}/run/'
--- /dev/null
+++ b/src/marjoramwharf/cells/succession.py
@@ -0,0 +1,65 @@
+"""What the owner of a cell stores, beside the jobs, for the owner after it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import trio
+
+from marjoramwharf.cells.cell_context import CellContext, CellOwnership
+from marjoramwharf.cells.lapsing_workers import LapsingWorkers
+from marjoramwharf.cells.model_saver import ModelSaver
+from marjoramwharf.cells.worker_roster import WorkerRoster
+from marjoramwharf.isolation import run_restarted
+from marjoramwharf.scheduling.fleet import WorkerListing
+from marjoramwharf.scheduling.interference import InterferenceModel
+
+
+@dataclass(frozen=True, slots=True)
+class Succession:
+    """The records of an owner's marks, known workers and learned weights."""
+
+    lapsing: LapsingWorkers
+    roster: WorkerRoster
+    model_saver: ModelSaver
+
+    async def load(self) -> list[WorkerListing]:
+        """Read what the former owner has left; return the workers it knew.
+
+        Raises store failures.
+        """
+        await self.lapsing.load()
+        await self.model_saver.load()
+        return await self.roster.load()
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Keep the records up to date in tasks of a nursery."""
+        nursery.start_soon(self.lapsing.run)
+        nursery.start_soon(self.roster.run)
+        nursery.start_soon(run_restarted, 'model saver', self.model_saver.run)
+
+
+def build_succession(
+    context: CellContext,
+    ownership: CellOwnership,
+    model: InterferenceModel,
+    known_listings: Callable[[], Iterable[WorkerListing]],
+) -> Succession:
+    """Create the records of one tenure."""
+    return Succession(
+        LapsingWorkers(
+            store=context.store,
+            cell=ownership.cell,
+            ownership_guard=ownership.guard,
+            view=context.lapsing_view,
+            former_fence=ownership.former_fence,
+        ),
+        WorkerRoster(
+            store=context.store,
+            cell=ownership.cell,
+            ownership_guard=ownership.guard,
+            known_listings=known_listings,
+        ),
+        ModelSaver(context.store, ownership.cell, ownership.guard, model),
+    )
--- /dev/null
+++ b/src/marjoramwharf/cells/unlisted_workers.py
@@ -0,0 +1,58 @@
+"""Decides on workers that answer, or may answer, and that the list lacks.
+
+A worker that is cut off from the store can't renew its listing. It may be at
+work all the same, and when it starts again, a worker with another id answers at
+its address, which no list shows.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from marjoramwharf.ids import WorkerId
+from marjoramwharf.scheduling.fleet import Worker, WorkerListing, WorkerState
+from marjoramwharf.scheduling.policy import Configuration
+
+# A worker that the list lacks is asked for this long after its last sign.
+_RETENTION_S = 60.0
+
+# A worker that reaches the store is listed within this time of its start.
+LISTING_WAIT_S = 2.0
+
+
+def may_be_replaced(
+    former: Worker, configuration: Configuration | None
+) -> bool:
+    """Whether the worker at the address of a former one may be used.
+
+    Its capacity is that of the former one if it is on the same machine, which
+    nothing tells. So it has to refuse what it can't hold. An address whose
+    worker was draining is free for any other one.
+    """
+    if configuration is None or former.listing.state is not WorkerState.READY:
+        return False
+    service = configuration.services.get(former.listing.service)
+    return service is not None and service.enforces_capacity
+
+
+def replacement_listing(
+    former: WorkerListing, worker_id: WorkerId
+) -> WorkerListing:
+    """Return what is assumed of a worker in the place of a former one.
+
+    It may be of another kind, so of the labels only the rack is kept.
+    """
+    return replace(
+        former, worker_id=worker_id, labels=former.labels[-1:], born_ms=0
+    )
+
+
+def may_be_forgotten(worker: Worker, *, now_s: float) -> bool:
+    """Whether a worker is gone, by the list and by what it answers."""
+    if worker.is_present or worker.runs:
+        return False
+    has_left = worker.listing.state is not WorkerState.READY
+    if has_left or worker.replaced_by is not None:
+        return True
+    latest_sign_s = max(worker.unlisted_at_s, worker.reported_at_s)
+    return now_s - latest_sign_s > _RETENTION_S
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -47,6 +47,7 @@
 # The answer to a poll may arrive this much after its wait is over.
 _HOLD_TIMEOUT_MARGIN_S = 1.0
 _UNREACHABLE_PAUSE_S = 0.2
+_UNLISTED_PAUSE_S = 1.0
 
 # A worker that closes each connection is asked for its incarnation each time.
 _MIN_RECONNECT_PAUSE_S = 0.02
@@ -84,7 +85,6 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reports: ReportProcessor = field(init=False)
     _reached_address: WorkerAddress | None = None
-    _replaced_by: WorkerId | None = None
     _poll_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reconnect_pauses: Backoff = field(
         default_factory=lambda: Backoff(
@@ -151,7 +151,7 @@
             if is_replaced:
                 self._record_replaced(report.other_worker_id)
             self._record_unreachable(report.outcome, is_replaced=is_replaced)
-            await trio.sleep(_UNREACHABLE_PAUSE_S)
+            await trio.sleep(self._unreachable_pause_s())
 
     async def _follow_report(self, address: WorkerAddress) -> None:
         """Go on with polls of a worker that has answered.
@@ -225,6 +225,15 @@
         """
         self._poll_scope.cancel()
 
+    def _unreachable_pause_s(self) -> float:
+        """Return the pause after a poll that the worker didn't accept.
+
+        One without a listing and without runs is most likely gone.
+        """
+        if self.worker.is_listed or self.worker.runs:
+            return _UNREACHABLE_PAUSE_S
+        return _UNLISTED_PAUSE_S
+
     def _wait_ms(self) -> int:
         if self.is_urgent:
             return _URGENT_WAIT_MS
@@ -234,6 +243,7 @@
         if not self.worker.is_reachable:
             _LOG.info('worker reached', worker=self.worker.worker_id)
         self.worker.is_reachable = True
+        self.worker.replaced_by = None
         self._reached_address = address
 
     def _is_replaced(
@@ -249,15 +259,16 @@
         return is_known and outcome is OrderOutcome.OTHER_WORKER
 
     def _record_replaced(self, other_id: WorkerId | None) -> None:
-        """Log which worker has taken the place of this one, if it tells."""
-        if other_id is None or other_id == self._replaced_by:
+        """Record which worker has taken the place of this one, if it tells."""
+        if other_id is None or other_id == self.worker.replaced_by:
             return
-        self._replaced_by = other_id
+        self.worker.replaced_by = other_id
         _LOG.info(
             'another worker answers',
             worker=self.worker.worker_id,
             other=other_id,
         )
+        self.owner.on_replaced(self.worker, other_id)
 
     def _record_unreachable(
         self, outcome: OrderOutcome, *, is_replaced: bool = False
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 import trio
 
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
+from marjoramwharf.cells.unlisted_workers import (
+    LISTING_WAIT_S,
+    may_be_forgotten,
+    replacement_listing,
+)
 from marjoramwharf.cells.worker_link import WorkerLink
 from marjoramwharf.errors import Failure
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.isolation import log_unexpected, run_isolated
-from marjoramwharf.links.store import StoreEvent, WatchBatch
+from marjoramwharf.links.store import StoredValue, WatchBatch
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import (
     Fleet,
@@ -42,7 +47,8 @@
     A tail latency may be over its target for ``max_over_target_s``. A draining
     worker that doesn't state how much time it has left has ``drain_ms``.
     ``decode`` raises a ``Failure`` for a listing that names no worker, and
-    ``on_change`` is called when workers come, go or change.
+    ``on_change`` is called after each change of the list, and
+    ``on_worker_changed`` when a worker comes, goes or is listed differently.
     """
 
     prefix: str
@@ -54,6 +60,7 @@
     max_over_target_s: float
     drain_ms: int
     on_change: Callable[[], None]
+    on_worker_changed: Callable[[WorkerId], None]
     fleet: Fleet = field(default_factory=Fleet)
     links: dict[WorkerId, WorkerLink] = field(default_factory=dict)
     _pace_controllers: dict[WorkerId, PaceController] = field(
@@ -68,19 +75,50 @@
 
     async def apply(self, batch: WatchBatch) -> None:
         """Apply watch events of the platform's list of workers."""
+        now_s = boot_s()
         listed: set[WorkerId] = set()
         for event in batch.events:
             worker_id = WorkerId(event.key.removeprefix(self.prefix))
-            if self._apply_event(event):
-                listed.add(worker_id)
-            else:
-                self._mark_gone(worker_id)
+            if event.stored is None:
+                self._mark_unlisted(worker_id, now_s)
+                continue
+            listed.add(worker_id)
+            if not self._apply_stored(event.key, event.stored):
+                self._mark_unreadable(worker_id)
         if batch.restarted:
-            for tracked_id in tuple(self.fleet.workers):
-                if tracked_id not in listed:
-                    self._mark_gone(tracked_id)
+            for tracked_id in self.fleet.workers.keys() - listed:
+                self._mark_unlisted(tracked_id, now_s)
         self.on_change()
 
+    def restore(
+        self, listings: Iterable[WorkerListing], *, now_s: float
+    ) -> None:
+        """Track the workers that a former owner knew, until the list is read."""
+        for listing in listings:
+            worker = Worker(listing, is_listed=False, unlisted_at_s=now_s)
+            self._add_worker(worker)
+
+    def adopt(
+        self, former: Worker, worker_id: WorkerId, *, now_s: float
+    ) -> None:
+        """Track a worker that answers in the place of a former one.
+
+        It gets runs if the list doesn't show it before long.
+        """
+        if worker_id in self.fleet.workers:
+            return
+        worker = Worker(
+            replacement_listing(former.listing, worker_id),
+            is_listed=False,
+            unlisted_at_s=now_s,
+            blocked_until_s=now_s + LISTING_WAIT_S,
+        )
+        self._add_worker(worker)
+
+    def listings(self) -> list[WorkerListing]:
+        """Return the latest listing of each tracked worker."""
+        return [worker.listing for worker in self.fleet.workers.values()]
+
     def start(self, run: Run) -> bool:
         """Send the start order of a run; return whether its worker is known."""
         link = self.links.get(run.worker_id)
@@ -150,10 +188,9 @@
         return link is None or link.clock.reading_ms is None
 
     def remove_gone_workers(self, *, now_s: float) -> None:
-        """Remove unreachable, no longer listed workers that have no runs."""
+        """Remove the workers that are neither listed nor answer any more."""
         for worker in tuple(self.fleet.workers.values()):
-            is_gone = worker.listing.state is WorkerState.GONE
-            if is_gone and not worker.runs and not worker.is_reachable:
+            if may_be_forgotten(worker, now_s=now_s):
                 self._remove(worker, now_s)
 
     def _remove(self, worker: Worker, now_s: float) -> None:
@@ -168,31 +205,25 @@
         self.fleet.workers.pop(worker_id)
         self._pace_controllers.pop(worker_id)
         self._learners.pop(worker_id)
+        self.on_worker_changed(worker_id)
 
-    def _apply_event(self, event: StoreEvent) -> bool:
-        """Apply one event; return whether it lists a usable worker.
+    def _apply_stored(self, key: str, stored: StoredValue) -> bool:
+        """Apply a listing; return whether it names a worker.
 
         An error in one listing must not hide the other workers.
         """
-        listing = self._decode_event(event)
-        if listing is None or event.stored is None:
+        try:
+            listing = self.decode(key, stored.body)
+        except Failure as failure:
+            _LOG.warning('worker listing not decoded', error=str(failure))
             return False
         try:
-            self._apply_listing(listing, event.stored.mod_revision)
+            self._apply_listing(listing, stored.mod_revision)
         except Exception:
-            log_unexpected(f'listing {event.key}')
+            log_unexpected(f'listing {key}')
             return False
         return True
 
-    def _decode_event(self, event: StoreEvent) -> WorkerListing | None:
-        if event.stored is None:
-            return None
-        try:
-            return self.decode(event.key, event.stored.body)
-        except Failure as failure:
-            _LOG.warning('worker listing not decoded', error=str(failure))
-            return None
-
     def _apply_listing(self, listing: WorkerListing, revision: int) -> None:
         worker = self.fleet.workers.get(listing.worker_id)
         if worker is None:
@@ -211,7 +242,7 @@
                 state=listing.state.value,
             )
         former_born_ms = worker.listing.born_ms
-        worker.listing = listing
+        self._record_listed(worker, listing)
         if listing.born_ms not in {0, former_born_ms, worker.born_ms}:
             _LOG.info(
                 'worker listed by another incarnation',
@@ -225,6 +256,7 @@
         """Track a new worker, and reserve for the runs placed there before."""
         worker_id = worker.worker_id
         self.fleet.workers[worker_id] = worker
+        self.on_worker_changed(worker_id)
         for run in self.job_table.live_runs():
             if run.worker_id == worker_id:
                 worker.add(run)
@@ -239,9 +271,32 @@
         if self._nursery is not None:
             self._nursery.start_soon(link.run)
 
-    def _mark_gone(self, worker_id: WorkerId) -> None:
+    def _record_listed(self, worker: Worker, listing: WorkerListing) -> None:
+        if not worker.is_listed:
+            worker.is_listed = True
+            worker.blocked_until_s = 0
+            _LOG.info('worker listed again', worker=worker.worker_id)
+        is_changed = worker.listing != listing
+        worker.listing = listing
+        if is_changed:
+            self.on_worker_changed(worker.worker_id)
+
+    def _mark_unlisted(self, worker_id: WorkerId, now_s: float) -> None:
         worker = self.fleet.workers.get(worker_id)
-        if worker is None or worker.listing.state is WorkerState.GONE:
+        if worker is None or not worker.is_listed:
             return
-        _LOG.info('worker gone', worker=worker_id, runs=len(worker.runs))
-        worker.listing = replace(worker.listing, state=WorkerState.GONE)
+        _LOG.info(
+            'worker unlisted',
+            worker=worker_id,
+            runs=len(worker.runs),
+            is_reachable=worker.is_reachable,
+        )
+        worker.is_listed = False
+        worker.unlisted_at_s = now_s
+
+    def _mark_unreadable(self, worker_id: WorkerId) -> None:
+        worker = self.fleet.workers.get(worker_id)
+        if worker is not None:
+            worker.listing = replace(
+                worker.listing, state=WorkerState.UNREADABLE
+            )
--- a/src/marjoramwharf/programs/explain.py
+++ b/src/marjoramwharf/programs/explain.py
@@ -43,7 +43,7 @@
         'worker: worker first polled',
         'worker: worker restarted',
         'worker: leases lapsed',
-        'worker: worker gone',
+        'worker: worker unlisted',
         'progress: write failed',
         'progress: writes succeed again',
     ),
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -33,11 +33,14 @@
 
 @enum.unique
 class WorkerState(enum.Enum):
-    """State by the platform's list: usable, about to leave, or off the list."""
+    """State by a worker's latest listing.
+
+    It is usable or about to leave, or the listing can't be read any more.
+    """
 
     READY = 'ready'
     DRAINING = 'draining'
-    GONE = 'gone'
+    UNREADABLE = 'unreadable'
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +83,8 @@
 class Worker:
     """A worker and the runs that reserve its capacity.
 
+    The platform's list drops a worker that can't renew its ``listing``, so one
+    that ``is_listed`` no more may be at work; its answers tell.
     ``is_reachable`` tells whether the latest poll of the worker was answered,
     ``reported_at_s`` when its latest report was made, and ``born_ms`` which
     incarnation answered (0: none yet). No run is placed there before
@@ -92,10 +97,13 @@
     :mod:`scheduling.headroom`, which a new ``version`` invalidates. ``speed`` is
     compared with that of other workers by the runs that ended there. The owner
     saw the latest version of the listing, ``listing_revision`` of the store, at
-    ``listed_at_s``. Times in seconds are those of the boot clock.
+    ``listed_at_s``, and that there is none any more at ``unlisted_at_s``. It was
+    ``replaced_by`` the worker that answers at its address, if that is known.
+    Times in seconds are those of the boot clock.
     """
 
     listing: WorkerListing
+    is_listed: bool = True
     is_reachable: bool = False
     born_ms: int = 0
     blocked_until_s: float = 0
@@ -114,6 +122,8 @@
     is_filling_paused: bool = False
     listing_revision: int = 0
     listed_at_s: float = 0
+    unlisted_at_s: float = 0
+    replaced_by: WorkerId | None = None
     version: int = 0
     headrooms_key: tuple[int, int] = (-1, -1)
     headrooms: tuple[ExpectedHeadroom, ...] = ()
@@ -191,10 +201,33 @@
             self.listing_revision = revision
             self.listed_at_s = now_s
 
+    @property
+    def is_listing_awaited(self) -> bool:
+        """Whether the incarnation that answered is about to list itself.
+
+        One that the list has dropped isn't waited for: it may be cut off from
+        the list, and its capacity and its rack are those of its machine.
+        """
+        return self.is_listed and not self.is_listing_current
+
+    @property
+    def is_present(self) -> bool:
+        """Whether the worker is listed or answers."""
+        return self.is_listed or self.is_reachable
+
+    @property
+    def certain_labels(self) -> tuple[str, ...]:
+        """The labels that hold for the incarnation that answered.
+
+        Another one may be of another kind; its rack stays the same.
+        """
+        labels = self.listing.labels
+        return labels if self.is_listing_current else labels[-1:]
+
     def is_usable(self, now_s: float) -> bool:
         """Whether the worker takes new runs at all, whatever their size."""
         is_ready = self.listing.state is WorkerState.READY
-        if not is_ready or not self.is_listing_current:
+        if not is_ready or self.is_listing_awaited:
             return False
         return (
             self.is_reachable
@@ -243,9 +276,8 @@
     def could_ever_run(self, step: StepRequest) -> bool:
         """Whether this worker, if it were empty, could run a task of a step."""
         capacity = self.capacity
-        if step.required_label and step.required_label not in (
-            self.listing.labels
-        ):
+        label = step.required_label
+        if label and label not in self.certain_labels:
             return False
         return (
             step.memory_mb <= capacity.memory_mb
--- a/src/marjoramwharf/scheduling/placement.py
+++ b/src/marjoramwharf/scheduling/placement.py
@@ -199,7 +199,7 @@
     if limit and worker.runs_count_of(task.step) >= limit:
         return False
     label = request.required_label
-    return not label or label in worker.listing.labels
+    return not label or label in worker.certain_labels
 
 
 def choose_gang_workers(
--- a/src/marjoramwharf/scheduling/waiting_reasons.py
+++ b/src/marjoramwharf/scheduling/waiting_reasons.py
@@ -48,6 +48,7 @@
     """
 
     GONE = 'gone'
+    UNREADABLE = 'unreadable'
     DRAINING = 'draining'
     UNREACHABLE_ALIVE = 'unreachable_alive'
     UNREACHABLE_SILENT = 'unreachable_silent'
@@ -69,6 +70,7 @@
 # The reasons that hold for all tasks.
 FLEET_REASONS = (
     WorkerReason.GONE,
+    WorkerReason.UNREADABLE,
     WorkerReason.DRAINING,
     WorkerReason.UNREACHABLE_ALIVE,
     WorkerReason.UNREACHABLE_SILENT,
@@ -80,19 +82,19 @@
 )
 
 _UNUSABLE_STATES = {
-    WorkerState.GONE: WorkerReason.GONE,
+    WorkerState.UNREADABLE: WorkerReason.UNREADABLE,
     WorkerState.DRAINING: WorkerReason.DRAINING,
 }
 
 
 def worker_reason(fleet: Fleet, worker: Worker, now_s: float) -> WorkerReason:
     """Return why a worker gets no runs at all, or that it is usable."""
-    unusable = _UNUSABLE_STATES.get(worker.listing.state)
-    if unusable is not None:
-        return unusable
+    listing_reason = _listing_reason(worker)
+    if listing_reason is not None:
+        return listing_reason
     if not worker.is_reachable:
         return _unreachable_reason(worker, now_s)
-    if not worker.is_listing_current:
+    if worker.is_listing_awaited:
         return WorkerReason.OTHER_INCARNATION
     if fleet.is_evacuated(worker):
         return WorkerReason.EVACUATED
@@ -103,6 +105,13 @@
     return WorkerReason.USABLE
 
 
+def _listing_reason(worker: Worker) -> WorkerReason | None:
+    """Return why the listing of a worker rules it out, ``None`` if not."""
+    if worker.is_present:
+        return _UNUSABLE_STATES.get(worker.listing.state)
+    return WorkerReason.GONE
+
+
 def _unreachable_reason(worker: Worker, now_s: float) -> WorkerReason:
     if now_s - worker.listed_at_s <= _RENEWED_LISTING_AGE_S:
         return WorkerReason.UNREACHABLE_ALIVE
