Let stand-in workers refuse at a foreign address, and count polls sent

Cause: tests of workers that are missing from the platform's list need an address at which another worker refuses every call (orders were carried out there by the worker of before), a count of the polls sent to a worker that never answers, and workers of another capacity.

--- a/standins/simulated_worker_client.py
+++ b/standins/simulated_worker_client.py
@@ -44,10 +44,11 @@
     A hold that waits at a worker while it restarts fails at once, but gets no
     answer until its timeout if the worker is one of ``dark_restarts``.
     The next ``connections_to_lose`` calls to an incarnation find no connection.
-    Another worker listens at each of the ``foreign_hosts``. At most
-    ``most_orders_in_flight`` start and stop orders were on their way to any
-    worker at a time.
-    ``holds_count`` is the number of holds that were answered.
+    Another worker listens at each of the ``foreign_hosts`` and refuses all calls.
+    At most ``most_orders_in_flight`` start and stop orders were on their way to
+    any worker at a time. ``holds_count`` is the number of holds that were
+    answered, and ``sent_holds`` counts those sent to each worker, answered or
+    not.
     """
 
     workers: dict[WorkerId, SimulatedWorker]
@@ -63,6 +64,7 @@
     starts_to_delay: int = 0
     stops_to_drop: int = 0
     holds_count: int = 0
+    sent_holds: Counter[WorkerId] = field(default_factory=Counter)
     hold_answer_delays_s: list[float] = field(default_factory=list)
     delayed_orders: list[Callable[[], OrderAnswer]] = field(
         default_factory=list
@@ -76,8 +78,10 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to start a run."""
-        if self._has_ended(worker):
-            return await _not_connected()
+        refusal = self._refusal(worker)
+        if refusal is not None:
+            await trio.lowlevel.checkpoint()
+            return OrderAnswer(refusal)
         with self._in_flight(worker.worker_id):
             return await self._send_start(worker, order, timeout_s)
 
@@ -109,8 +113,10 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to stop a run."""
-        if self._has_ended(worker):
-            return await _not_connected()
+        refusal = self._refusal(worker)
+        if refusal is not None:
+            await trio.lowlevel.checkpoint()
+            return OrderAnswer(refusal)
         with self._in_flight(worker.worker_id):
             return await self._send_stop(worker, order, timeout_s)
 
@@ -139,8 +145,10 @@
         timeout_s: float,
     ) -> OrderAnswer:
         """Order a worker to change the pace of a run."""
-        if self._has_ended(worker):
-            return await _not_connected()
+        refusal = self._refusal(worker)
+        if refusal is not None:
+            await trio.lowlevel.checkpoint()
+            return OrderAnswer(refusal)
         answer = await self._reach(
             worker.worker_id,
             lambda: self._worker(worker.worker_id).pace(
@@ -159,12 +167,11 @@
         timeout_s: float,
     ) -> HoldReport:
         """Extend leases; report at a run's end or after ``wait_ms``."""
-        if self._has_ended(worker):
-            refusal = await _not_connected()
-            return HoldReport(refusal.outcome)
-        if worker.host in self.foreign_hosts:
+        self.sent_holds[worker.worker_id] += 1
+        refusal = self._refusal(worker)
+        if refusal is not None:
             await trio.lowlevel.checkpoint()
-            return HoldReport(OrderOutcome.OTHER_WORKER)
+            return HoldReport(refusal)
         sent_s = trio.current_time()
         report = await self._wait_for_report(worker, order, timeout_s)
         if report.outcome is OrderOutcome.ACCEPTED and (
@@ -206,6 +213,14 @@
             await trio.sleep_until(timeout_at_s)
         return HoldReport(OrderOutcome.UNKNOWN)
 
+    def _refusal(self, worker: WorkerAddress) -> OrderOutcome | None:
+        """Return why a call doesn't get to the worker, if it is refused."""
+        if self._has_ended(worker):
+            return OrderOutcome.NOT_CONNECTED
+        if worker.host in self.foreign_hosts:
+            return OrderOutcome.OTHER_WORKER
+        return None
+
     def _has_ended(self, worker: WorkerAddress) -> bool:
         """Whether the connections to the addressed incarnation have ended."""
         if worker.born_ms is not None and self.connections_to_lose:
@@ -248,8 +263,3 @@
             return None
         await trio.lowlevel.checkpoint()
         return call()
-
-
-async def _not_connected() -> OrderAnswer:
-    await trio.lowlevel.checkpoint()
-    return OrderAnswer(OrderOutcome.NOT_CONNECTED)
