--- a/src/marjoramwharf/cells/unlisted_workers.py
+++ b/src/marjoramwharf/cells/unlisted_workers.py
@@ -52,7 +52,7 @@
     if worker.is_present or worker.runs:
         return False
     has_left = worker.listing.state is not WorkerState.READY
-    if has_left or worker.replaced_by is not None:
+    if has_left or worker.is_replaced:
         return True
     latest_sign_s = max(worker.unlisted_at_s, worker.reported_at_s)
     return now_s - latest_sign_s > _RETENTION_S
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -85,6 +85,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reports: ReportProcessor = field(init=False)
     _reached_address: WorkerAddress | None = None
+    _replaced_by: WorkerId | None = None
     _poll_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reconnect_pauses: Backoff = field(
         default_factory=lambda: Backoff(
@@ -243,7 +244,7 @@
         if not self.worker.is_reachable:
             _LOG.info('worker reached', worker=self.worker.worker_id)
         self.worker.is_reachable = True
-        self.worker.replaced_by = None
+        self.worker.is_replaced = False
         self._reached_address = address
 
     def _is_replaced(
@@ -260,9 +261,10 @@
 
     def _record_replaced(self, other_id: WorkerId | None) -> None:
         """Record which worker has taken the place of this one, if it tells."""
-        if other_id is None or other_id == self.worker.replaced_by:
+        self.worker.is_replaced = True
+        if other_id is None or other_id == self._replaced_by:
             return
-        self.worker.replaced_by = other_id
+        self._replaced_by = other_id
         _LOG.info(
             'another worker answers',
             worker=self.worker.worker_id,
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -275,7 +275,7 @@
         if not worker.is_listed:
             worker.is_listed = True
             worker.blocked_until_s = 0
-            _LOG.info('worker listed again', worker=worker.worker_id)
+            _LOG.info('worker listed', worker=worker.worker_id)
         is_changed = worker.listing != listing
         worker.listing = listing
         if is_changed:
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -97,9 +97,9 @@
     :mod:`scheduling.headroom`, which a new ``version`` invalidates. ``speed`` is
     compared with that of other workers by the runs that ended there. The owner
     saw the latest version of the listing, ``listing_revision`` of the store, at
-    ``listed_at_s``, and that there is none any more at ``unlisted_at_s``. It was
-    ``replaced_by`` the worker that answers at its address, if that is known.
-    Times in seconds are those of the boot clock.
+    ``listed_at_s``, and that there is none any more at ``unlisted_at_s``. The
+    worker ``is_replaced`` while another one answers at its address. Times in
+    seconds are those of the boot clock.
     """
 
     listing: WorkerListing
@@ -123,7 +123,7 @@
     listing_revision: int = 0
     listed_at_s: float = 0
     unlisted_at_s: float = 0
-    replaced_by: WorkerId | None = None
+    is_replaced: bool = False
     version: int = 0
     headrooms_key: tuple[int, int] = (-1, -1)
     headrooms: tuple[ExpectedHeadroom, ...] = ()
