Describe, measure and test the workers that the list lacks

Cause: operators had no metric for a worker that is in use without a listing, and the decisions and the roster had no tests of their own. An isolated owner judged its reach by the listed workers only, so that it kept the cell when most workers had left the list and it reached none of them.

--- a/src/marjoramwharf/cells/owner_reach.py
+++ b/src/marjoramwharf/cells/owner_reach.py
@@ -11,7 +11,7 @@
 
 from marjoramwharf.scheduling.fleet import Fleet
 
-# An owner that reaches less than this share of the listed workers, and no more
+# An owner that reaches less than this share of the known workers, and no more
 # of them as time goes on, gives the cell up after a while: soon if it reaches no
 # other entry either, and later with each time that an owner has given way lately.
 _MIN_REACHED_SHARE = 0.5
@@ -36,16 +36,19 @@
     ) -> bool:
         """Whether the owner should give the cell up.
 
-        An owner that ``is_isolated`` reaches no other entry. Owners have given
-        way ``given_way_count`` times lately.
+        An owner that ``is_isolated`` reaches no other entry, so that these may
+        reach workers which to it are neither listed nor answer. Owners have
+        given way ``given_way_count`` times lately.
         """
-        listed = [
-            worker for worker in fleet.workers.values() if worker.is_listed
+        known = [
+            worker
+            for worker in fleet.workers.values()
+            if worker.is_present or is_isolated
         ]
-        reached_count = sum(worker.is_reachable for worker in listed)
+        reached_count = sum(worker.is_reachable for worker in known)
         is_more = reached_count > self._reached_count
         self._reached_count = reached_count
-        if reached_count >= _MIN_REACHED_SHARE * len(listed):
+        if reached_count >= _MIN_REACHED_SHARE * len(known):
             self._too_few_since_s = None
             return False
         if is_more or self._too_few_since_s is None:
--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -124,6 +124,7 @@
                     not worker.is_reachable for worker in workers
                 ),
             },
+            'unlisted_workers': _count_unlisted(fleet),
         }
 
     def _samples(self) -> Mapping[str, deque[float]]:
@@ -175,6 +176,18 @@
         return self._metrics[name]
 
 
+def _count_unlisted(fleet: Fleet) -> dict[str, float]:
+    """Return how many workers the list lacks that answer, and that don't."""
+    unlisted = [
+        worker for worker in fleet.workers.values() if not worker.is_listed
+    ]
+    reachable_count = sum(worker.is_reachable for worker in unlisted)
+    return {
+        'reachable': reachable_count,
+        'unreachable': len(unlisted) - reachable_count,
+    }
+
+
 def _waiting_values(
     fleet: Fleet, now_s: float
 ) -> Mapping[str, Mapping[str, float]]:
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -26,7 +26,7 @@
 from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
-from marjoramwharf.cells.records import LapsingMark, lapsing_key
+from marjoramwharf.cells.records import LapsingMark, lapsing_key, roster_key
 from marjoramwharf.cells.report_processor import ReportProcessor
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_link import WorkerLink, _FetchedReport
@@ -39,6 +39,8 @@
     WorkerAddress,
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
+from marjoramwharf.cells.worker_registry import WorkerRegistry
+from marjoramwharf.cells.worker_roster import WorkerRoster
 from marjoramwharf.cells.worker_routes import DIRECT, Route, WorkerRoutes
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.links.store import Guard
@@ -58,6 +60,7 @@
 _run_writer = ProgressWriter.run
 _load_marks = LapsingWorkers.load
 _write_marks = LapsingWorkers._write
+_commit_roster = WorkerRoster._commit
 
 
 async def _start_without_fence(self: WorkerOrders, run: Run) -> OrderAnswer:
@@ -194,6 +197,19 @@
     self.lapsing.mark(self._lost_workers())
 
 
+def _listed_labels(worker: Worker) -> tuple[str, ...]:
+    return worker.listing.labels
+
+
+async def _commit_whatever_is_stored(
+    self: WorkerRoster, bodies: dict[int, bytes]
+) -> bool:
+    for part in bodies:
+        stored = await self.store.read(roster_key(self.cell, part))
+        self._revisions[part] = 0 if stored is None else stored.mod_revision
+    return await _commit_roster(self, bodies)
+
+
 # Each mutant by the precaution that it leaves out.
 MUTANTS: Mapping[str, Callable[[], _Patch]] = {
     'start orders carry a fence': lambda: patch.object(
@@ -228,6 +244,21 @@
             Worker, 'is_listing_current', PropertyMock(return_value=True)
         )
     ),
+    'a worker that started again may be of another kind': lambda: patch.object(
+        Worker, 'certain_labels', property(_listed_labels)
+    ),
+    'a worker of unknown capacity refuses what is too much': lambda: patch(
+        f'{Cell.__module__}.may_be_replaced', _always
+    ),
+    'a listing that can not be read names no worker': lambda: patch.object(
+        WorkerRegistry, '_mark_unreadable', _none
+    ),
+    'a worker that never answers again is forgotten': lambda: patch(
+        f'{WorkerRegistry.__module__}.may_be_forgotten', _never
+    ),
+    'a late write of the roster is refused': lambda: patch.object(
+        WorkerRoster, '_commit', _commit_whatever_is_stored
+    ),
     'a missing run may still start': lambda: patch(
         f'{ReportProcessor.__module__}._has_certainly_ended', _always
     ),
--- a/tests/platform/test_worker_client.py
+++ b/tests/platform/test_worker_client.py
@@ -80,6 +80,32 @@
         """Guards against a lease and ends of before at a new incarnation."""
         trio.run(self._hold_is_not_repeated)
 
+    def test_refused_by_another_worker(self) -> None:
+        """Guards against a worker that nobody learns of, or a bad id of one."""
+        trio.run(self._refused_by_another)
+
+    async def _refused_by_another(self) -> None:
+        expected = {
+            b'i-7': WorkerId('i-7'),
+            b'': None,
+            b'i' * 300: None,
+            b'\xc3\xa9': None,
+        }
+        for told, other_id in expected.items():
+            async with raw_server() as server:
+                server.response = (
+                    b'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n'
+                    b'X-Marjoramwharf-Instance-Id: ' + told + b'\r\n\r\n'
+                )
+                worker = WorkerAddress(
+                    WorkerId('i-2'), '127.0.0.1', server.port
+                )
+                report = await self.worker_client.hold(
+                    worker, HoldOrder(7, 0, None, 0), timeout_s=2
+                )
+            self.assertIs(OrderOutcome.OTHER_WORKER, report.outcome)
+            self.assertEqual(other_id, report.other_worker_id)
+
     async def _order_to_an_incarnation(self) -> None:
         """Only a connection that the incarnation has answered on is used."""
         async with scripted(_REPORT, (200, {})) as script:
--- a/tests/programs/test_cell_metrics.py
+++ b/tests/programs/test_cell_metrics.py
@@ -14,6 +14,7 @@
 from marjoramwharf.links.http_server import HttpRequest
 from marjoramwharf.programs._cell_metrics import CellMetrics
 from tests.cells.candidate import Candidate
+from marjoramwharf.ids import WorkerId
 from tests.cells.cluster import (
     job_request,
     open_cluster,
@@ -58,6 +59,24 @@
         with patch('trio.to_thread.run_sync', _run_inline):
             run_with_clock(self._unreachable_workers)
 
+    def test_unlisted_workers(self) -> None:
+        """Guards against workers that leave the list without a sign."""
+        run_with_clock(self._unlisted_workers)
+
+    async def _unlisted_workers(self) -> None:
+        async with open_cluster(('w1', 'w2', 'w3')) as (cluster, nursery):
+            owner = cluster.spawn(nursery, 'e1')
+            await trio.sleep(5)
+            cluster.worker_client.unreachable.add(WorkerId('w3'))
+            cluster.unlist('w2')
+            cluster.unlist('w3')
+            await trio.sleep(5)
+            values = await _scrape(owner)
+        self.assertEqual(1, values['unlisted_workers{kind="reachable"}'])
+        self.assertEqual(1, values['unlisted_workers{kind="unreachable"}'])
+        self.assertEqual(2, values['workers_by_reason{kind="usable"}'])
+        self.assertEqual(1, values['workers_by_reason{kind="gone"}'])
+
     async def _unreachable_workers(self) -> None:
         async with open_cluster(('w1', 'w2')) as (cluster, nursery):
             owner = cluster.spawn(nursery, 'e1')
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -26,10 +26,14 @@
     test_late_answers,
     test_malformed_records,
     test_next_incarnation,
+    test_replaced_workers,
     test_restarted_workers,
     test_slow_owner,
+    test_unlisted_precautions,
+    test_unlisted_workers,
     test_unreachable_from_owner,
     test_vanished_workers,
+    test_worker_roster,
 )
 from tests.cells.mutants import MUTANTS
 
@@ -47,6 +51,10 @@
     test_slow_owner,
     test_vanished_workers,
     test_lapsing_workers,
+    test_worker_roster,
+    test_replaced_workers,
+    test_unlisted_workers,
+    test_unlisted_precautions,
     test_histories,
 )
 
