Replace workers off the list in the soak

Change: a fault restarts a worker under another id, which the stand-in tells when it refuses calls meant for the former one, and lists it 3 s to 7 s later. The tool that tries mutants loads its test modules by name.

--- a/standins/platform_endpoints.py
+++ b/standins/platform_endpoints.py
@@ -36,6 +36,9 @@
 _PAGE_ITEMS_COUNT = 500
 _POLL_INTERVAL_S = 0.005
 
+_INTENDED_HEADER = 'x-marjoramwharf-target-instance'
+_ANSWERING_HEADER = 'X-Marjoramwharf-Instance-Id'
+
 _REFUSAL_REASONS = {
     OrderOutcome.FENCED: 'fence',
     OrderOutcome.RUN_TOO_OLD: 'old',
@@ -60,6 +63,7 @@
     state: KeyValueState = field(default_factory=KeyValueState)
     refuse: bool = False
     answers_to_lose: int = 0
+    unlisted: dict[str, bytes] = field(default_factory=dict)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one call."""
@@ -93,8 +97,22 @@
             if data_centre is not None:
                 key = f'op/evacuate/{data_centre}'
                 self.state.apply([Write(key, body)])
+        self._change_list(fault)
         return json_reply({})
 
+    def _change_list(self, fault: dict[str, Any]) -> None:
+        """Take a worker off the list, or list it again under another id."""
+        unlisted_id = fault.get('unlist')
+        if unlisted_id is not None:
+            key = f'servers/{unlisted_id}'
+            self.unlisted[key] = self.state.stored[key].body
+            self.state.apply([Write(key, None)])
+        relisted_ids = fault.get('relist')
+        if relisted_ids is not None:
+            former, present = relisted_ids
+            body = self.unlisted.pop(f'servers/{former}')
+            self.state.apply([Write(f'servers/{present}', body)])
+
     def _answer_read(
         self, call: str, query: dict[str, str]
     ) -> HttpResponse | None:
@@ -205,10 +223,12 @@
 
     ``/starts`` has the starts of this incarnation, and ``/history`` the runs of
     all incarnations. The next ``start_answers_to_lose`` starts are carried out, and their
-    connections aborted without an answer.
+    connections aborted without an answer. A call that is meant for another id
+    than ``worker_id`` is refused, unless that is empty.
     """
 
     worker: SimulatedWorker
+    worker_id: str = ''
     start_answers_to_lose: int = 0
     former_history: list[RunHistory] = field(default_factory=list)
 
@@ -216,16 +236,24 @@
         """Answer one call."""
         body = json.loads(request.body or b'{}')
         path = urlsplit(request.target).path
-        if path == '/hold':
-            return await self._hold(body)
         if path == CONTROL_PATH:
             return self._control(body)
+        intended = request.headers.get(_INTENDED_HEADER, self.worker_id)
+        if self.worker_id not in {'', intended}:
+            return HttpResponse(
+                421, headers=((_ANSWERING_HEADER, self.worker_id),)
+            )
+        if path == '/hold':
+            return await self._hold(body)
         if path == '/starts':
             return json_reply(self.worker.starts)
         if path == '/history':
             self.worker.advance(trio.current_time())
             rows = [*self.former_history, *self.worker.history]
             return json_reply([asdict(row) for row in rows])
+        return self._answer_order(path, body)
+
+    def _answer_order(self, path: str, body: dict[str, Any]) -> HttpResponse:
         orders: dict[str, Callable[[Any], OrderAnswer]] = {
             '/run-start': self._start,
             '/run-stop': self._stop,
@@ -248,6 +276,7 @@
         self.start_answers_to_lose += fault.get('start_answers_to_lose', 0)
         if fault.get('restart'):
             self._restart(trio.current_time())
+        self.worker_id = fault.get('worker_id', self.worker_id)
         return json_reply({})
 
     def _restart(self, now_s: float) -> None:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -16,46 +16,27 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import redirect_stdout
 
-from tests.cells import (
-    test_calls_through_entries,
-    test_cell,
-    test_connection_use,
-    test_evacuations,
-    test_histories,
-    test_lapsing_workers,
-    test_late_answers,
-    test_malformed_records,
-    test_next_incarnation,
-    test_replaced_workers,
-    test_restarted_workers,
-    test_slow_owner,
-    test_unlisted_precautions,
-    test_unlisted_workers,
-    test_unreachable_from_owner,
-    test_vanished_workers,
-    test_worker_roster,
-)
 from tests.cells.mutants import MUTANTS
 
 # The random histories are last, since they take longest.
 _TEST_MODULES = (
-    test_cell,
-    test_late_answers,
-    test_malformed_records,
-    test_next_incarnation,
-    test_restarted_workers,
-    test_connection_use,
-    test_evacuations,
-    test_unreachable_from_owner,
-    test_calls_through_entries,
-    test_slow_owner,
-    test_vanished_workers,
-    test_lapsing_workers,
-    test_worker_roster,
-    test_replaced_workers,
-    test_unlisted_workers,
-    test_unlisted_precautions,
-    test_histories,
+    'test_cell',
+    'test_late_answers',
+    'test_malformed_records',
+    'test_next_incarnation',
+    'test_restarted_workers',
+    'test_connection_use',
+    'test_evacuations',
+    'test_unreachable_from_owner',
+    'test_calls_through_entries',
+    'test_slow_owner',
+    'test_vanished_workers',
+    'test_lapsing_workers',
+    'test_worker_roster',
+    'test_replaced_workers',
+    'test_unlisted_workers',
+    'test_unlisted_precautions',
+    'test_histories',
 )
 
 _CONCURRENT_PROCESSES_COUNT = 2
@@ -96,7 +77,9 @@
 def _first_failed_test() -> str:
     """Return the first test that fails, empty if all pass."""
     for module in _TEST_MODULES:
-        suite = unittest.defaultTestLoader.loadTestsFromModule(module)
+        suite = unittest.defaultTestLoader.loadTestsFromName(
+            f'tests.cells.{module}'
+        )
         outcome = unittest.TestResult()
         outcome.failfast = True
         with redirect_stdout(io.StringIO()):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -140,6 +140,22 @@
     await fleet.control_worker(fault.target % WORKERS_COUNT, restart=True)
 
 
+async def _replace_unlisted_worker(fleet: SoakFleet, fault: Fault) -> None:
+    """Restart a worker under another id while the list can't show it.
+
+    Another such fault of the worker waits until it is listed again.
+    """
+    number = fault.target % WORKERS_COUNT
+    async with fleet.worker_locks[number]:
+        former = fleet.worker_ids[number]
+        present = f'{former}x'
+        fleet.worker_ids[number] = present
+        await fleet.control_store(unlist=former)
+        await fleet.control_worker(number, restart=True, worker_id=present)
+        await trio.sleep(_MIN_CUT_S + fault.duration_s)
+        await fleet.control_store(relist=[former, present])
+
+
 async def _lose_start_answers(fleet: SoakFleet, fault: Fault) -> None:
     await fleet.control_worker(
         fault.target % WORKERS_COUNT,
@@ -207,8 +223,9 @@
     'link refuses': _refuse_link,
     'data centre evacuated': _evacuate,
     'owner cut off from workers': _cut_owner_from_workers,
+    'worker replaced off the list': _replace_unlisted_worker,
 }
 ALL_KINDS = tuple(FAULTS)
 
 # A seed stands for the same faults only together with the kinds to choose from.
-FIRST_KINDS = ALL_KINDS[:-3]
+FIRST_KINDS = ALL_KINDS[:-4]
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import trio
+
 from standins.platform_endpoints import CONTROL_PATH
 from tools.platform_fleet import PlatformFleet
 from tools.ports import free_ports
@@ -25,11 +27,19 @@
     """Entries and the stand-in platform, joined by links.
 
     Each entry has a link of its own to the store, and each worker one that all
-    entries use.
+    entries use. ``worker_ids`` are the present ids of the workers.
     """
 
     store_links: list[Link] = field(default_factory=list)
     worker_links: list[Link] = field(default_factory=list)
+    worker_ids: list[str] = field(
+        default_factory=lambda: [
+            f'w{number}' for number in range(1, WORKERS_COUNT + 1)
+        ]
+    )
+    worker_locks: list[trio.Lock] = field(
+        default_factory=lambda: [trio.Lock() for _ in range(WORKERS_COUNT)]
+    )
 
     def start(self, stack: ExitStack) -> None:
         """Start all processes; they are killed when ``stack`` is closed."""
