--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -135,7 +135,6 @@
         remaining_ms: int | None = None,
         data_centre: str = 'plovdiv',
         kind: str = 'a',
-        cpu_millicores: int = 8_000,
         tells_start: bool = False,
     ) -> SimulatedWorker:
         """Add a worker to the list, or change what is listed there.
@@ -154,7 +153,7 @@
             port=1,
             data_centre=DataCentreId(data_centre),
             state=state,
-            capacity=Resources(cpu_millicores, 8_000, 0),
+            capacity=Resources(8_000, 8_000, 0),
             labels=(kind, 'r1'),
             born_ms=worker.born_ms if tells_start else 0,
             remaining_ms=remaining_ms,
