--- a/src/marjoramwharf/cells/entry_directory.py
+++ b/src/marjoramwharf/cells/entry_directory.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 import trio
 
+from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.records import (
     ENTRIES_PREFIX,
     EntryRecord,
@@ -40,6 +41,10 @@
 _RENEWAL_PERIOD_S = 4.0
 _READ_PERIOD_S = 10.0
 
+# A peer without a record may be alive: an entry can't renew its record while it
+# is cut off from the store, nor can any while the store is away.
+_RETENTION_S = 30.0
+
 # While all slots are taken, enough entries can be found.
 _NO_SLOT_PAUSE_S = 30.0
 
@@ -50,17 +55,26 @@
 _FIRST_READ_DELAY_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class _SeenPeer:
+    """A peer, and when a read of the records showed it last."""
+
+    address: PeerAddress
+    seen_s: float
+
+
 @dataclass(slots=True)
 class EntryDirectory:
     """Publishes the record of this entry and reads those of its peers.
 
-    The peers of the last successful read are kept while the store is
-    unavailable.
+    A peer is kept for a while after the last read that showed it, and all are
+    while the store is unavailable.
     """
 
     store: PollingStore
     record: EntryRecord
     peers: tuple[PeerAddress, ...] = ()
+    _seen: dict[EntryId, _SeenPeer] = field(default_factory=dict)
     _lease: LeaseId | None = field(default=None)
 
     async def run(self) -> None:
@@ -108,11 +122,24 @@
             _LOG.info('entry records not read', error=str(failure))
             return
         decoded = (_decode_peer(stored) for stored in result.found)
-        self.peers = tuple(peer for peer in decoded if peer is not None)
-        if self.record.entry_id not in {peer.entry_id for peer in self.peers}:
+        found = {peer.entry_id: peer for peer in decoded if peer is not None}
+        self._keep_peers(found, now_s=boot_s())
+        if self.record.entry_id not in found:
             # The lease may outlive the record, which is then written again.
             self._lease = None
 
+    def _keep_peers(
+        self, found: Mapping[EntryId, PeerAddress], *, now_s: float
+    ) -> None:
+        for entry_id, address in found.items():
+            self._seen[entry_id] = _SeenPeer(address, now_s)
+        self._seen = {
+            entry_id: seen
+            for entry_id, seen in self._seen.items()
+            if now_s - seen.seen_s < _RETENTION_S
+        }
+        self.peers = tuple(seen.address for seen in self._seen.values())
+
 
 def _choose_place(found: Sequence[StoredValue], entry_id: str) -> Guard | None:
     """Return the key for the record of an entry and its present revision.
--- a/tests/cells/test_entry_directory.py
+++ b/tests/cells/test_entry_directory.py
@@ -49,6 +49,10 @@
         """Guards against an entry that is hidden while its lease lasts."""
         run_with_clock(self._record_is_gone)
 
+    def test_records_lapse(self) -> None:
+        """Guards against peers that are lost with their records in the store."""
+        run_with_clock(self._records_lapse)
+
     def test_former_process(self) -> None:
         """Guards against peers that know only the former process."""
         run_with_clock(self._former_process)
@@ -136,6 +140,21 @@
             self.assertEqual({'e1'}, _peer_ids(directory))
             nursery.cancel_scope.cancel()
 
+    async def _records_lapse(self) -> None:
+        store = PollingMemoryStore()
+        directory = _directory(store, 'e1')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(directory.run)
+            with trio.move_on_after(2):
+                await _directory(store, 'e2').run()
+            for stored in store.state.values_below('mw/entry/'):
+                await store.commit([], [Write(stored.key, None)])
+            await trio.sleep(15)
+            self.assertEqual({'e1', 'e2'}, _peer_ids(directory))
+            await trio.sleep(60)
+            self.assertEqual({'e1'}, _peer_ids(directory))
+            nursery.cancel_scope.cancel()
+
     async def _former_process(self) -> None:
         store = PollingMemoryStore()
         with trio.move_on_after(2):
