--- a/tests/cells/test_vanished_workers.py
+++ b/tests/cells/test_vanished_workers.py
@@ -3,40 +3,29 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 import trio
 
 from marjoramwharf.cells.records import lapsing_key, owner_key
-from marjoramwharf.ids import TaskId, WorkerId
 from marjoramwharf.links.store import Write
-from tests.cells.candidate import Candidate
-from tests.cells.cluster import (
-    CELL,
-    HOLD_MS,
-    Cluster,
-    job_request,
-    open_cluster,
-    run_with_clock,
-    step,
+from tests.cells.cluster import CELL, run_with_clock
+from tests.cells.lasting_tasks import (
+    GONE,
+    POLLED_S,
+    kill,
+    next_owner,
+    open_scene,
+    replace_owner,
+    spawn_reserve,
+    vanish,
 )
 
-_GONE = (WorkerId('w1'), WorkerId('w2'))
-_SPARE = ('w4', 'w5')
-_MS_PER_S = 1_000
-_POLLED_S = 2
-
 # The owner has lost a worker, and has told it, this long after it vanished.
 _TOLD_S = 4
 
 # A lasting task is to be at work this long after its owner was lost.
 _AWAY_LIMIT_S = 6
 
-# A lease of the former owner and the time until it noticed that it lost the path.
-_LEASE_S = HOLD_MS / _MS_PER_S + 4
-
 # Owners that follow each other before their own leases could be waited for.
 _SHORT_TENURE_S = 1.5
 _OWNERS_COUNT = 4
@@ -80,29 +69,29 @@
         run_with_clock(self._former_owner_goes_on)
 
     async def _owner_is_lost(self) -> None:
-        async with _open_scene() as scene:
+        async with open_scene() as scene:
             scene.cluster.spawn(scene.nursery, 'e2')
-            _vanish(scene.cluster)
+            vanish(scene.cluster)
             await trio.sleep(_TOLD_S)
             scene.owner.scope.cancel()
             await scene.wait_at_work(limit_s=_AWAY_LIMIT_S)
 
     async def _owners_follow_each_other(self) -> None:
-        async with _open_scene() as scene:
+        async with open_scene() as scene:
             owner = scene.owner
             names = [f'e{number}' for number in range(2, _OWNERS_COUNT + 1)]
             for name in names:
                 scene.cluster.spawn(scene.nursery, name)
-            _vanish(scene.cluster)
+            vanish(scene.cluster)
             await trio.sleep(_TOLD_S)
             for _ in names:
-                _kill(scene.cluster, owner)
-                owner = await _next_owner(scene.cluster)
+                kill(scene.cluster, owner)
+                owner = await next_owner(scene.cluster)
                 await trio.sleep(_SHORT_TENURE_S)
             await scene.wait_at_work(limit_s=_AWAY_LIMIT_S)
 
     async def _runs_on(self) -> None:
-        async with _open_scene() as scene:
+        async with open_scene() as scene:
             scene.cluster.spawn(scene.nursery, 'e2')
             scene.cut()
             await trio.sleep(_TOLD_S)
@@ -110,18 +99,18 @@
             await scene.check_single()
 
     async def _reached_again_for_a_while(self) -> None:
-        async with _open_scene() as scene:
+        async with open_scene() as scene:
             scene.cluster.spawn(scene.nursery, 'e2')
             scene.cut()
             await trio.sleep(_TOLD_S)
             scene.join()
-            await trio.sleep(_POLLED_S)
+            await trio.sleep(POLLED_S)
             scene.cut()
             scene.owner.scope.cancel()
             await scene.check_single()
 
     async def _mark_can_not_be_removed(self) -> None:
-        async with _open_scene() as scene:
+        async with open_scene() as scene:
             scene.cluster.spawn(scene.nursery, 'e2')
             scene.cut()
             await trio.sleep(_TOLD_S)
@@ -134,7 +123,7 @@
             await scene.check_single()
 
     async def _late_write_of_a_mark(self) -> None:
-        async with _open_scene() as scene:
+        async with open_scene() as scene:
             scene.cluster.spawn(scene.nursery, 'e2')
             store = scene.cluster.store
             store.commits_to_delay = 1
@@ -142,7 +131,7 @@
             while not store.delayed_commits:
                 await trio.sleep(0.01)
             scene.join()
-            await trio.sleep(_POLLED_S)
+            await trio.sleep(POLLED_S)
             for apply in store.delayed_commits:
                 apply()
             await trio.sleep(_TOLD_S)
@@ -152,156 +141,43 @@
 
     async def _unknowing_owner_in_between(self) -> None:
         """The record is as if the owner in between had left it alone."""
-        async with _open_scene() as scene:
+        async with open_scene() as scene:
             cluster = scene.cluster
             cluster.spawn(scene.nursery, 'e2')
-            third = _spawn_reserve(scene)
+            third = spawn_reserve(scene)
             scene.cut()
             await trio.sleep(_TOLD_S)
             former = cluster.store.state.stored[lapsing_key(CELL)].body
             seen_s = dict(third.view.lapsing._seen_s)
-            _kill(cluster, scene.owner)
-            second = await _next_owner(cluster)
+            kill(cluster, scene.owner)
+            second = await next_owner(cluster)
             scene.join()
-            await trio.sleep(_POLLED_S)
+            await trio.sleep(POLLED_S)
             await cluster.restore_record(lapsing_key(CELL), former)
-            await trio.sleep(_POLLED_S)
+            await trio.sleep(POLLED_S)
             third.view.lapsing._seen_s.update(seen_s)
             scene.cut()
-            _replace(cluster, second, third)
+            replace_owner(cluster, second, third)
             await scene.check_single()
 
     async def _former_owner_goes_on(self) -> None:
         """The store loses the record of an owner that it doesn't answer."""
-        async with _open_scene() as scene:
+        async with open_scene() as scene:
             cluster, owner = scene.cluster, scene.owner
             second = cluster.spawn(scene.nursery, 'e2')
             second.unreachable.update(cluster.workers)
             second.is_isolated = True
-            third = _spawn_reserve(scene)
-            third.unreachable.update(_GONE)
+            third = spawn_reserve(scene)
+            third.unreachable.update(GONE)
             third.unconnected.extend((owner, second))
-            await trio.sleep(_POLLED_S)
+            await trio.sleep(POLLED_S)
             owner.store_gate.freeze(_LONG_S)
-            owner.unreachable.update(cluster.workers.keys() - set(_GONE))
+            owner.unreachable.update(cluster.workers.keys() - set(GONE))
             owner.is_isolated = True
             cluster.store.state.apply([Write(owner_key(CELL), None)])
-            await _next_owner(cluster, besides=owner)
+            await next_owner(cluster, besides=owner)
             await trio.sleep(1)
-            _replace(cluster, second, third)
-            await trio.sleep(_POLLED_S)
+            replace_owner(cluster, second, third)
+            await trio.sleep(POLLED_S)
             owner.scope.cancel()
             await scene.check_single()
-
-
-@dataclass
-class _Scene:
-    """An owner, and lasting tasks at workers that it may lose."""
-
-    cluster: Cluster
-    nursery: trio.Nursery
-    owner: Candidate
-    tasks: frozenset[TaskId]
-
-    def cut(self) -> None:
-        """Cut the paths to workers, which run on."""
-        self.cluster.worker_client.unreachable.update(_GONE)
-
-    def join(self) -> None:
-        """Open the paths to all workers."""
-        self.cluster.worker_client.unreachable.clear()
-        for candidate in self.cluster.candidates:
-            candidate.unreachable.clear()
-
-    async def wait_at_work(self, *, limit_s: float) -> None:
-        """Wait until all tasks are at work, each at one worker."""
-        await self.cluster.wait_until(
-            lambda: _at_work(self.cluster).issuperset(self.tasks),
-            limit_s=limit_s,
-        )
-
-    async def check_single(self) -> None:
-        """Check until leases have lapsed; then all are at work, at one worker."""
-        end_s = trio.current_time() + 2 * _LEASE_S
-        await self.cluster.wait_until(
-            lambda: trio.current_time() >= end_s, limit_s=3 * _LEASE_S
-        )
-        self.join()
-        await self.wait_at_work(limit_s=_LEASE_S)
-
-
-@asynccontextmanager
-async def _open_scene() -> AsyncIterator[_Scene]:
-    async with open_cluster() as (cluster, nursery):
-        owner = cluster.spawn(nursery, 'e1')
-        tasks = await _start_lasting(cluster)
-        yield _Scene(cluster, nursery, owner, tasks)
-
-
-async def _start_lasting(cluster: Cluster) -> frozenset[TaskId]:
-    """Start a lasting task on each worker; return their names.
-
-    Then add workers that could run the tasks of others.
-    """
-    lasting = step(3, cpu_millicores=4_000, is_lasting=True, per_worker_limit=1)
-    await cluster.submit(job_request('aa', lasting, payload='serve'))
-    await cluster.wait_until(lambda: len(_at_work(cluster)) == lasting.count)
-    for name in _SPARE:
-        await cluster.add_worker(name)
-    await trio.sleep(_POLLED_S)
-    return _at_work(cluster)
-
-
-def _vanish(cluster: Cluster) -> None:
-    """Let workers lose power and leave the list."""
-    for worker_id in _GONE:
-        cluster.workers.pop(worker_id)
-        cluster.listings.pop(worker_id)
-        cluster.unlist(worker_id)
-
-
-def _spawn_reserve(scene: _Scene) -> Candidate:
-    """Spawn an entry that doesn't campaign yet."""
-    candidate = scene.cluster.spawn(scene.nursery, 'e3')
-    if candidate.campaign is not None:
-        candidate.campaign.has_resigned = True
-    return candidate
-
-
-def _replace(cluster: Cluster, owner: Candidate, reserve: Candidate) -> None:
-    """Kill the owner, so that the reserve is the next one."""
-    if reserve.campaign is not None:
-        reserve.campaign.has_resigned = False
-    _kill(cluster, owner)
-
-
-def _kill(cluster: Cluster, owner: Candidate) -> None:
-    """Kill the owner; the store takes its record away at once."""
-    owner.scope.cancel()
-    cluster.store.state.apply([Write(owner_key(CELL), None)])
-
-
-async def _next_owner(
-    cluster: Cluster, *, besides: Candidate | None = None
-) -> Candidate:
-    """Wait for another owner, and return it once it has loaded the cell."""
-
-    def find() -> Candidate | None:
-        for candidate in cluster.candidates:
-            cell = candidate.cell
-            is_lost = candidate is besides or candidate.scope.cancel_called
-            if not is_lost and cell is not None and cell.is_loaded:
-                return candidate
-        return None
-
-    await cluster.wait_until(lambda: find() is not None)
-    found = find()
-    if found is None:
-        raise AssertionError('the owner was lost at once')
-    return found
-
-
-def _at_work(cluster: Cluster) -> frozenset[TaskId]:
-    return frozenset(
-        task for worker in cluster.workers.values() for task in worker.running
-    )
