Don't wait for a former owner whose process has ended

Cause: a new owner gives a former one 3.2 s to notice that it was replaced, and counts the longest lease from then on, also when that process has ended.

Change: the new owner asks at the former one's address who answers. Another process of the same entry can only listen there once the former one is gone, and what that one had sent has ends of leases fixed at its sending. So the longest lease counts from the answer, but never from less than 3.2 s after the former owner's own record was seen: the owner before that one may not have noticed it. A refused connection, silence, the same process, another entry at the address, and an owner before that isn't certain to be the one directly before, change nothing.

Bound: 10 s after the last process was back, from the rule (3 s until calm, 4 s and 3 s more).

--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -83,16 +83,17 @@
     the fence of every order to a worker. ``is_current`` tells whether runs may
     still be started, and ``may_extend_leases`` whether the leases of runs may
     still be extended. A former owner that hasn't noticed this one may extend
-    them until ``former_owner_until_s`` of the boot clock; ``former_fence`` is
-    that of the owner before, if known. ``give_up`` ends the ownership, and
-    ``give_way`` also lets other entries campaign first.
+    them until ``former_owner_until_s()`` of the boot clock, which may turn out
+    to be earlier than was known before; ``former_fence`` is that of the owner
+    before, if known. ``give_up`` ends the ownership, and ``give_way`` also lets
+    other entries campaign first.
     """
 
     cell: CellId
     guard: Guard
     is_current: Callable[[], bool]
     may_extend_leases: Callable[[], bool]
-    former_owner_until_s: float
+    former_owner_until_s: Callable[[], float]
     give_up: Callable[[], None]
     give_way: Callable[[], None]
     former_fence: int | None = None
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -105,7 +105,7 @@
 
         A former owner may still extend leases at those that it hasn't marked.
         """
-        if now_s < self.ownership.former_owner_until_s:
+        if now_s < self.ownership.former_owner_until_s():
             return
         lost = self._lost_workers()
         former = self._lost_before | self.lapsing.marked
@@ -156,7 +156,7 @@
         A former owner that doesn't know of this one may have extended them
         until its own right to do so ended, unless it had marked the worker.
         """
-        extended_until_s = self.ownership.former_owner_until_s
+        extended_until_s = self.ownership.former_owner_until_s()
         inherited_s = self.lapsing.inherited_s(worker_id)
         if inherited_s is not None:
             extended_until_s = min(extended_until_s, inherited_s)
--- a/src/marjoramwharf/cells/owner_view.py
+++ b/src/marjoramwharf/cells/owner_view.py
@@ -15,6 +15,7 @@
 
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.lapsing_view import LapsingView
+from marjoramwharf.cells.owner_succession import OwnerSuccession
 from marjoramwharf.cells.records import (
     CellId,
     EntryRecord,
@@ -53,7 +54,8 @@
     such a process has written another record, it was alive, and the path to it
     refuses connections; this entry follows no further hint then.
     ``is_loaded`` is true once the records have been read. ``lapsing`` follows
-    the records that owners store beside theirs.
+    the records that owners store beside theirs, and ``succession`` which owner
+    came before which.
     """
 
     owners: dict[CellId, CurrentOwner] = field(default_factory=dict)
@@ -61,6 +63,7 @@
     is_loaded: bool = False
     is_misled: bool = False
     lapsing: LapsingView = field(default_factory=LapsingView)
+    succession: OwnerSuccession = field(default_factory=OwnerSuccession)
     _ended_processes: dict[str, int] = field(default_factory=dict)
     _revisions: dict[CellId, deque[int]] = field(default_factory=dict)
     _given_way_s: dict[CellId, dict[int, float]] = field(default_factory=dict)
@@ -70,11 +73,17 @@
         """Apply watch events of the owners' records."""
         if batch.restarted:
             self.owners.clear()
+            self.succession.keep_only(
+                event.stored.mod_revision
+                for event in batch.events
+                if event.stored is not None
+            )
         for event in batch.events:
             try:
                 self._apply_event(event)
             except JournalDamaged as failure:
                 _LOG.error('owner record ignored', error=str(failure))
+                self.succession.keep_only(())
         self.is_loaded = True
         self._notify_waiters()
 
@@ -125,6 +134,7 @@
         self.owners[cell] = owner
         self._detect_living(owner)
         self._remember_fence(cell, owner)
+        self.succession.observe(cell, record, owner.revision, now_s=boot_s())
 
     def _apply_lapsing(self, event: StoreEvent) -> None:
         """Follow the record beside an owner's; raises ``JournalDamaged``."""
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -14,7 +14,7 @@
 from msgspec import DecodeError, Struct, msgpack
 
 from marjoramwharf.errors import JournalDamaged
-from marjoramwharf.ids import JobId, WorkerId
+from marjoramwharf.ids import Incarnation, JobId, WorkerId
 from marjoramwharf.json_bodies import Port, Ratio
 from marjoramwharf.scheduling.interference import KnownWeight
 from marjoramwharf.scheduling.job_state import (
@@ -34,6 +34,8 @@
 _LAPSING_SUFFIX = '/lapsing'
 _GIVING_WAY_SUFFIX = '/giving-way'
 
+_INCARNATION_LENGTH = 8
+
 _Model = TypeVar('_Model')  # any record, not an interference model
 
 
@@ -51,6 +53,11 @@
     nonce: str = ''
     cpu_share: Ratio = 1
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The process of the entry, as it names itself to peers."""
+        return incarnation_of(self.secret)
+
 
 class RunRecord(Struct, frozen=True, array_like=True):
     """A run that has not ended; ``born_ms`` is its worker's incarnation."""
@@ -109,6 +116,15 @@
     tasks: tuple[TaskRecord, ...] = ()
 
 
+def incarnation_of(secret: str) -> Incarnation:
+    """Return the name of the process that made a secret for itself.
+
+    >>> incarnation_of('5c0e7a21d94b36f8')
+    '5c0e7a21'
+    """
+    return Incarnation(secret[:_INCARNATION_LENGTH])
+
+
 def owner_key(cell: CellId) -> str:
     """Key of the leased record that names the owner of a cell."""
     return f'{OWNERS_PREFIX}{cell}'
--- a/src/marjoramwharf/links/peer_client.py
+++ b/src/marjoramwharf/links/peer_client.py
@@ -208,6 +208,20 @@
         await frames.aclose()
 
 
+async def fetch_identity(
+    connect: Callable[[], Awaitable[trio.abc.Stream]],
+) -> PeerIdentity:
+    """Return who the process at an address says it is, without any proof.
+
+    Raises ``OSError`` or a ``Failure`` if none answers.
+    """
+    frames = FrameStream(await connect())
+    try:
+        return read_identity(_unpack_hello(await frames.receive()))
+    finally:
+        await frames.aclose()
+
+
 def _unpack_hello(envelope: ttypes.Envelope) -> Message:
     message = unpack(envelope)
     if isinstance(message, ttypes.Refusal):
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -17,16 +17,22 @@
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.entry_directory import EntryDirectory
+from marjoramwharf.cells.former_owner import FormerOwner
 from marjoramwharf.cells.instance_settings import InstanceSettings
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.owner_link import OwnerLink, answer_job_call
 from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.ownership import Campaign, Tenure
-from marjoramwharf.cells.records import OWNERS_PREFIX, CellId, EntryRecord
+from marjoramwharf.cells.records import (
+    OWNERS_PREFIX,
+    CellId,
+    EntryRecord,
+    incarnation_of,
+)
 from marjoramwharf.cells.worker_relay import WORKER_METHOD
 from marjoramwharf.errors import BadSettings
-from marjoramwharf.ids import Incarnation, random_id
-from marjoramwharf.isolation import run_restarted
+from marjoramwharf.ids import random_id
+from marjoramwharf.isolation import run_isolated, run_restarted
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.links.http_server import (
     HttpServer,
@@ -184,7 +190,7 @@
         """The identity that this process sends to peers."""
         return PeerIdentity(
             entry_id=self.settings.entry_id,
-            incarnation=Incarnation(self.secret[:8]),
+            incarnation=incarnation_of(self.secret),
             data_centre=self.settings.data_centre,
         )
 
@@ -231,6 +237,11 @@
 
     async def run_cell(self, tenure: Tenure) -> None:
         """Run the cell as its owner until the tenure ends."""
+        former_owner = FormerOwner(
+            tenure,
+            self.view.succession,
+            self.campaign.ttl_ms / _MS_PER_S + _HOLD_AFTER_EXPIRY_S,
+        )
         cell = Cell(
             ownership=CellOwnership(
                 cell=tenure.cell,
@@ -239,7 +250,7 @@
                 may_extend_leases=lambda: tenure.is_current(
                     boot_s() - _HOLD_AFTER_EXPIRY_S,
                 ),
-                former_owner_until_s=self._former_owner_until_s(tenure),
+                former_owner_until_s=former_owner.may_extend_until_s,
                 give_up=tenure.scope.cancel,
                 give_way=lambda: self.campaign.give_way(now_s=boot_s()),
                 former_fence=self.view.fence_before(
@@ -270,19 +281,15 @@
         self.cell = cell
         self.counters.tenures_count += 1
         try:
-            await cell.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    run_isolated, 'former owner', former_owner.run
+                )
+                await cell.run()
+                nursery.cancel_scope.cancel()
         finally:
             self.cell = None
 
-    def _former_owner_until_s(self, tenure: Tenure) -> float:
-        """Return until when a former owner may extend leases of runs.
-
-        The store may have taken its record away before its lease lapsed, and
-        another entry may have replaced it, without its knowledge.
-        """
-        ttl_s = self.campaign.ttl_ms / _MS_PER_S
-        return tenure.acquired_s + ttl_s + _HOLD_AFTER_EXPIRY_S
-
     async def _answer_peer(
         self,
         sender: PeerIdentity,
--- a/tests/cells/candidate.py
+++ b/tests/cells/candidate.py
@@ -26,6 +26,7 @@
     ``tenures_count`` tells how often it became the owner. It has no path to the
     ``unreachable`` workers, while other entries may have one, none to the
     ``unconnected`` entries, and none to any entry while it ``is_isolated``.
+    While it ``refuses_connections``, no entry can ask it who it is.
     """
 
     view: OwnerView = field(default_factory=OwnerView)
@@ -41,6 +42,7 @@
     unreachable: set[WorkerId] = field(default_factory=set)
     unconnected: list[Candidate] = field(default_factory=list)
     is_isolated: bool = False
+    refuses_connections: bool = False
 
     def give_way(self) -> None:
         """Let other entries campaign before this one does again."""
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -48,7 +48,7 @@
 from standins.simulated_worker import SimulatedWorker
 from standins.simulated_worker_client import MemoryWorkerClient
 from tests.cells.candidate import Candidate
-from tests.cells.entry_clients import routed_client_of
+from tests.cells.entry_clients import former_owner_of, routed_client_of
 from tests.plain_logs import use_plain_tracebacks
 
 use_plain_tracebacks()
@@ -216,11 +216,12 @@
     def spawn(self, nursery: trio.Nursery, name: str) -> Candidate:
         """Start the process of an entry that competes for the cell."""
         candidate = Candidate()
+        secret = f'{len(self.candidates)} of {name}'
         candidate.campaign = Campaign(
             store=self._store_of(candidate),
             view=candidate.view,
             cell=CELL,
-            record=EntryRecord(name, name, 1, f'secret of {name}'),
+            record=EntryRecord(name, name, 1, secret),
             ttl_ms=TTL_MS,
             cpu_share=1,
             run_cell=partial(self._run_cell, candidate),
@@ -315,6 +316,12 @@
 
     async def _run_cell(self, candidate: Candidate, tenure: Tenure) -> None:
         candidate.tenures_count += 1
+        former_owner = former_owner_of(
+            candidate,
+            self.candidates,
+            tenure,
+            TTL_MS / 1_000 + HOLD_AFTER_EXPIRY_S,
+        )
         candidate.cell = Cell(
             ownership=CellOwnership(
                 cell=CELL,
@@ -323,9 +330,7 @@
                 may_extend_leases=lambda: tenure.is_current(
                     boot_s() - HOLD_AFTER_EXPIRY_S
                 ),
-                former_owner_until_s=tenure.acquired_s
-                + TTL_MS / 1_000
-                + HOLD_AFTER_EXPIRY_S,
+                former_owner_until_s=former_owner.may_extend_until_s,
                 give_up=tenure.scope.cancel,
                 give_way=candidate.give_way,
                 former_fence=candidate.view.fence_before(CELL, tenure.revision),
@@ -353,7 +358,10 @@
             ),
         )
         try:
-            await candidate.cell.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(former_owner.run)
+                await candidate.cell.run()
+                nursery.cancel_scope.cancel()
         finally:
             candidate.cell = None
 
--- a/tests/cells/entry_clients.py
+++ b/tests/cells/entry_clients.py
@@ -1,14 +1,19 @@
-"""The clients with which the entries of a cluster call workers."""
+"""The clients with which the entries of a cluster call others."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
+from functools import partial
 
 import trio
 
+from marjoramwharf.cells.former_owner import FormerOwner
+from marjoramwharf.cells.ownership import Tenure
+from marjoramwharf.cells.records import EntryRecord
 from marjoramwharf.cells.routed_worker_client import RoutedWorkerClient
 from marjoramwharf.cells.worker_messages import WorkerClient
-from marjoramwharf.ids import EntryId
+from marjoramwharf.ids import DataCentreId, EntryId
+from marjoramwharf.links.peer_messages import PeerIdentity
 from standins.frozen_process import FreezableWorkerClient
 from standins.partitioned_worker_client import PartitionedWorkerClient
 from standins.relaying_entries import RelayingEntries
@@ -37,6 +42,40 @@
     )
 
 
+def former_owner_of(
+    candidate: Candidate,
+    candidates: Sequence[Candidate],
+    tenure: Tenure,
+    unnoticed_s: float,
+) -> FormerOwner:
+    """Return what an owner finds out about the one before it."""
+    return FormerOwner(
+        tenure,
+        candidate.view.succession,
+        unnoticed_s,
+        partial(_ask_candidate, candidates),
+    )
+
+
+async def _ask_candidate(
+    candidates: Sequence[Candidate], record: EntryRecord
+) -> PeerIdentity:
+    """Return who answers at the address of an entry."""
+    await trio.lowlevel.checkpoint()
+    for other in candidates:
+        campaign = other.campaign
+        is_listening = not (
+            other.refuses_connections or other.scope.cancel_called
+        )
+        if is_listening and campaign and campaign.record.host == record.host:
+            return PeerIdentity(
+                EntryId(campaign.record.entry_id),
+                campaign.record.incarnation,
+                DataCentreId(''),
+            )
+    raise ConnectionRefusedError
+
+
 def _direct(
     candidate: Candidate, shared_client: WorkerClient
 ) -> FreezableWorkerClient:
--- a/tests/cells/lasting_tasks.py
+++ b/tests/cells/lasting_tasks.py
@@ -105,7 +105,9 @@
     return candidate
 
 
-def replace_owner(cluster: Cluster, owner: Candidate, reserve: Candidate) -> None:
+def replace_owner(
+    cluster: Cluster, owner: Candidate, reserve: Candidate
+) -> None:
     """Kill the owner, so that the reserve is the next one."""
     if reserve.campaign is not None:
         reserve.campaign.has_resigned = False
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -18,15 +18,17 @@
     EndAcknowledgements,
     _UnacknowledgedEnd,
 )
+from marjoramwharf.cells.former_owner import FormerOwner
 from marjoramwharf.cells.inbox import Inbox
 from marjoramwharf.cells.lapsing_workers import LapsingWorkers
 from marjoramwharf.cells.maintenance import Maintenance
 from marjoramwharf.cells.owner_lag import OwnerLag
 from marjoramwharf.cells.owner_reach import OwnerReach
+from marjoramwharf.cells.owner_succession import OwnerSuccession, SeenOwner
 from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
-from marjoramwharf.cells.records import LapsingMark, lapsing_key
+from marjoramwharf.cells.records import EntryRecord, LapsingMark, lapsing_key
 from marjoramwharf.cells.report_processor import ReportProcessor
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_link import WorkerLink, _FetchedReport
@@ -41,6 +43,7 @@
 from marjoramwharf.cells.worker_orders import WorkerOrders
 from marjoramwharf.cells.worker_routes import DIRECT, Route, WorkerRoutes
 from marjoramwharf.ids import WorkerId
+from marjoramwharf.links.peer_messages import PeerIdentity
 from marjoramwharf.links.store import Guard
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
@@ -58,6 +61,7 @@
 _run_writer = ProgressWriter.run
 _load_marks = LapsingWorkers.load
 _write_marks = LapsingWorkers._write
+_has_ended = FormerOwner._has_ended
 
 
 async def _start_without_fence(self: WorkerOrders, run: Run) -> OrderAnswer:
@@ -194,6 +198,29 @@
     self.lapsing.mark(self._lost_workers())
 
 
+async def _has_ended_or_is_silent(self: FormerOwner, former: SeenOwner) -> bool:
+    answers: list[PeerIdentity] = []
+    ask = self.ask
+
+    async def ask_and_keep(record: EntryRecord) -> PeerIdentity:
+        answers.append(await ask(record))
+        return answers[0]
+
+    with patch.object(self, 'ask', ask_and_keep):
+        has_ended = await _has_ended(self, former)
+    return has_ended or not answers
+
+
+def _is_any_other_process(identity: PeerIdentity, record: EntryRecord) -> bool:
+    return identity.incarnation != record.incarnation
+
+
+def _forget_earlier_owners(
+    self: FormerOwner, _former: SeenOwner, *, now_s: float
+) -> None:
+    self._proven_until_s = now_s
+
+
 # Each mutant by the precaution that it leaves out.
 MUTANTS: Mapping[str, Callable[[], _Patch]] = {
     'start orders carry a fence': lambda: patch.object(
@@ -262,6 +289,21 @@
     'marks of a former owner are waited for': lambda: patch.object(
         LapsingWorkers, 'inherited_s', _none
     ),
+    'only a later process shows that a former owner has ended': lambda: patch(
+        f'{FormerOwner.__module__}._is_later', _always
+    ),
+    'only the same entry shows that a former owner has ended': lambda: patch(
+        f'{FormerOwner.__module__}._is_later', _is_any_other_process
+    ),
+    'silence does not show that a former owner has ended': lambda: patch.object(
+        FormerOwner, '_has_ended', _has_ended_or_is_silent
+    ),
+    'owners before one that has ended are waited for': lambda: patch.object(
+        FormerOwner, '_record_end', _forget_earlier_owners
+    ),
+    'an owner may have come and gone in a gap of a watch': lambda: patch.object(
+        OwnerSuccession, 'keep_only', _none
+    ),
     'progress is written only by the owner': lambda: patch.object(
         ProgressWriter, 'run', _write_unguarded
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -20,7 +20,9 @@
     test_calls_through_entries,
     test_cell,
     test_connection_use,
+    test_ended_owner,
     test_evacuations,
+    test_former_owner,
     test_histories,
     test_lapsing_workers,
     test_late_answers,
@@ -46,6 +48,8 @@
     test_calls_through_entries,
     test_slow_owner,
     test_vanished_workers,
+    test_ended_owner,
+    test_former_owner,
     test_lapsing_workers,
     test_histories,
 )
