Cut off a restarted entry in the test of two former owners

The new owner reached the workers through it, so that the test passed without the precaution (mutant: owners before one that has ended are waited for, which only test_former_owner caught). test_ended_owner catches it now; all 5 new mutants are caught.

--- a/tests/cells/test_ended_owner.py
+++ b/tests/cells/test_ended_owner.py
@@ -80,7 +80,7 @@
             _cut_off(third, scene.owner)
             second = await _supersede_unnoticed(scene)
             await trio.sleep(_SHORT_TENURE_S)
-            spawn_reserve(scene, 'e2')
+            _cut_off(spawn_reserve(scene, 'e2'), scene.owner)
             replace_owner(scene.cluster, second, third)
             await scene.check_single()
 
