Count a lasting task's wait from when its run was last known at work

Cause: a lasting task comes after short ones that can be on time until it has waited for 4 s, and that wait began when the run was given up, though it had been gone for 9.7 s by then.

Change: the wait for this rank counts from the latest report of a run that vanished, or from its planning (for a restored run, from when the owner restored it). A refused start was planned a moment before, so it gains nothing. What logs and the stages page call waiting is unchanged.

--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -140,7 +140,11 @@
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """A task of a step and its live runs by number."""
+    """A task of a step and its live runs by number.
+
+    While it is ready, it may not have been at work since ``away_since_s``: a
+    run that vanished was known to be there before, at its latest report.
+    """
 
     step: Step
     index: int
@@ -153,6 +157,7 @@
     failed_workers: set[WorkerId] = field(default_factory=set)
     not_before_s: float = 0  # no run is planned earlier
     ready_since_s: float = 0
+    away_since_s: float = 0
     has_begun: bool = False  # a run may have started
 
     @property
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -179,6 +179,8 @@
             self._count_failure(task, max_attempts)
         self._mark_changed(job)
         self._advance_job(job, task.step, now_s)
+        if how is RunEnd.VANISHED:
+            task.away_since_s = max(run.planned_s, run.progress_read_s)
 
     def cancel(self, job_id: JobId, *, now_s: float) -> Job | None:
         """Cancel an open job and return it; the caller has to stop its runs."""
@@ -319,6 +321,7 @@
                 if step.ready_since_s is None:
                     step.ready_since_s = now_s
                 task.ready_since_s = now_s
+                task.away_since_s = now_s
                 self.ready[task.name] = task
 
     def _mark_changed(self, job: Job, *, is_urgent: bool = False) -> None:
--- a/src/marjoramwharf/scheduling/ordering.py
+++ b/src/marjoramwharf/scheduling/ordering.py
@@ -22,7 +22,7 @@
 # Estimates are rough: a critical path may turn out shorter by this share.
 _ESTIMATE_ERROR_SHARE = 0.4
 
-# A lasting task that has waited for longer goes first, so that none starves.
+# A lasting task that is away for longer goes first, so that none starves.
 _MAX_LASTING_WAIT_S = 4.0
 
 
@@ -70,17 +70,17 @@
 
 
 def step_rank(
-    step: Step, queue: QueuePolicy, *, now_ms: int, ready_for_s: float = 0
+    step: Step, queue: QueuePolicy, *, now_ms: int, away_for_s: float = 0
 ) -> Rank:
-    """Return the sort key of a step whose tasks wait for ``ready_for_s``.
+    """Return the sort key of a step that has been away for ``away_for_s``.
 
     Jobs that can hardly meet their objective any more come after those that
-    can. Lasting steps come between them, until they have waited for long.
+    can. Lasting steps come between them, until they have been away for long.
     """
     request = step.occurrence.job.request
     since_ms = max(request.accepted_at_ms, step.occurrence.due_ms)
     if step.request.is_lasting:
-        is_overdue = ready_for_s > _MAX_LASTING_WAIT_S
+        is_overdue = away_for_s > _MAX_LASTING_WAIT_S
         tier = Tier.ON_TIME if is_overdue else Tier.LASTING
         return Rank(tier, 0, queue.priority, since_ms)
     allowed_ms = objective_ms(step, queue)
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -160,8 +160,7 @@
                     group[0].step,
                     queue_of(group[0], queues),
                     now_ms=now_ms,
-                    ready_for_s=now_s
-                    - min(task.ready_since_s for task in group),
+                    away_for_s=now_s - min(task.away_since_s for task in group),
                 ),
                 group,
             )
--- a/tests/scheduling/test_waiting_steps.py
+++ b/tests/scheduling/test_waiting_steps.py
@@ -7,7 +7,7 @@
 
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.interference import FillingLoad, InterferenceModel
-from marjoramwharf.scheduling.job_state import Job, Run
+from marjoramwharf.scheduling.job_state import Job, Run, RunEnd
 from marjoramwharf.scheduling.job_table import JobTable
 from marjoramwharf.scheduling.planner import Planner
 from tests.scheduling.fixtures import (
@@ -41,6 +41,43 @@
         runs = self._plan(make_fleet(full, make_worker('w2')))
         self.assertEqual(4, _count(runs, second))
 
+    def test_lasting_task_that_was_lost_long_ago(self) -> None:
+        """Guards against a wait that begins anew when a lost run is given up."""
+        lost, left = make_worker('w1'), make_worker('w2')
+        self._fill(left, left_millicores=4_000)
+        lasting = self._add('last', 1, cpu_millicores=4_000, is_lasting=True)
+        run = start_run(self.job_table, first_task(lasting), lost)
+        self._add('short', 1, cpu_millicores=4_000, now_s=_WAITED_S)
+        self.job_table.end_run(
+            run,
+            RunEnd.VANISHED,
+            checkpoint='',
+            max_attempts=1,
+            now_s=_WAITED_S,
+        )
+        runs = self._plan(make_fleet(left), now_s=_WAITED_S)
+        self.assertEqual(1, _count(runs, lasting))
+
+    def test_lasting_task_whose_start_was_refused(self) -> None:
+        """Guards against a task that goes first though it was never away."""
+        left = make_worker('w2')
+        self._fill(left, left_millicores=4_000)
+        lasting = self._add('last', 1, cpu_millicores=4_000, is_lasting=True)
+        run = start_run(
+            self.job_table, first_task(lasting), left, now_s=_WAITED_S
+        )
+        left.remove(run)
+        short = self._add('short', 1, cpu_millicores=4_000, now_s=_WAITED_S)
+        self.job_table.end_run(
+            run,
+            RunEnd.VANISHED,
+            checkpoint='',
+            max_attempts=1,
+            now_s=_WAITED_S,
+        )
+        runs = self._plan(make_fleet(left), now_s=_WAITED_S)
+        self.assertEqual(1, _count(runs, short))
+
     def test_filling_step_beside_a_busy_service(self) -> None:
         """Guards against a filling task that waits for other services."""
         workers = [make_worker(f'w{number}') for number in range(4)]
@@ -114,8 +151,17 @@
         second = self._plan(fleet, now_s=_WAITED_S)
         self.assertEqual(2, _count(second, lasting))
 
-    def _add(self, name: str, count: int, **fields: object) -> Job:
-        return add_job(self.job_table, name, make_step(count, **fields))
+    def _add(
+        self, name: str, count: int, *, now_s: float = 0, **fields: object
+    ) -> Job:
+        """Add a job of one step that is accepted at a time."""
+        return add_job(
+            self.job_table,
+            name,
+            make_step(count, **fields),
+            accepted_at_ms=int(now_s * 1_000),
+            now_s=now_s,
+        )
 
     def _fill(
         self, worker: Worker, *, left_millicores: int, memory_mb: int = 0
