--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -26,7 +26,11 @@
 from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.plan_loop import PlanLoop
 from marjoramwharf.cells.progress_writer import ProgressWriter
-from marjoramwharf.cells.records import LapsingMark, lapsing_key, roster_key
+from marjoramwharf.cells.records import (
+    LapsingMark,
+    lapsing_key,
+    roster_key,
+)
 from marjoramwharf.cells.report_processor import ReportProcessor
 from marjoramwharf.cells.worker_clock import WorkerClock
 from marjoramwharf.cells.worker_link import WorkerLink, _FetchedReport
@@ -46,6 +50,7 @@
 from marjoramwharf.links.store import Guard
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
+from tests.cells.former_owner_mutants import FORMER_OWNER_MUTANTS
 
 _Patch = AbstractContextManager[Any]
 
@@ -335,4 +340,5 @@
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
+    **FORMER_OWNER_MUTANTS,
 }
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -31,6 +31,8 @@
     'test_calls_through_entries',
     'test_slow_owner',
     'test_vanished_workers',
+    'test_ended_owner',
+    'test_former_owner',
     'test_lapsing_workers',
     'test_worker_roster',
     'test_replaced_workers',
