Don't wait for the own former tenure after an outage of the store

Cause: the class of 'runs of vanished workers': what bounds a wait is known to one tenure only, and the next one begins the wait anew, here even in the same process.

Change: a process keeps when its latest tenure ended and until when that could extend leases. If that tenure, by its fence, was the one directly before, the wait counts from there.

Evidence: test_owner_follows_itself_after_an_outage fails without the clause and passes with it.

--- a/src/marjoramwharf/cells/former_owner.py
+++ b/src/marjoramwharf/cells/former_owner.py
@@ -46,12 +46,16 @@
     """Finds out whether the process of the owner before a tenure has ended.
 
     An owner without knowledge of its successor may extend leases for
-    ``unnoticed_s`` after that one's record was written.
+    ``unnoticed_s`` after that one's record was written: its own lease, and then
+    ``hold_after_expiry_s`` without one. ``own_former`` is the latest tenure of
+    this process.
     """
 
     tenure: Tenure
     succession: OwnerSuccession
     unnoticed_s: float
+    hold_after_expiry_s: float
+    own_former: Tenure | None
     ask: AskIdentity = ask_identity
     _proven_until_s: float = math.inf
 
@@ -61,11 +65,25 @@
             former = self.succession.before(
                 self.tenure.cell, self.tenure.revision
             )
-            if former is not None and await self._has_ended(former):
-                self._record_end(former, now_s=boot_s())
+            if former is not None and await self._find_end(former):
                 return
             await trio.sleep(_ATTEMPT_INTERVAL_S)
 
+    async def _find_end(self, former: SeenOwner) -> bool:
+        ended_s = await self._end_of(former)
+        if ended_s is not None:
+            self._record_end(former, ended_s=ended_s)
+        return ended_s is not None
+
+    async def _end_of(self, former: SeenOwner) -> float | None:
+        """Return a time at which a former owner had ended, if that is known."""
+        own = self.own_former
+        if own is not None and own.revision == former.revision:
+            return min(
+                own.ended_s, own.valid_until_s + self.hold_after_expiry_s
+            )
+        return boot_s() if await self._has_ended(former) else None
+
     def may_extend_until_s(self) -> float:
         """Return until when any former owner may extend leases of runs.
 
@@ -85,12 +103,12 @@
                 _LOG.debug('former owner not asked', error=repr(failure))
         return identity is not None and _is_later(identity, former.record)
 
-    def _record_end(self, former: SeenOwner, *, now_s: float) -> None:
+    def _record_end(self, former: SeenOwner, *, ended_s: float) -> None:
         """Wait only for the owners before one that has ended.
 
         These may not have noticed it, as it could have been for them.
         """
-        self._proven_until_s = max(now_s, former.seen_s + self.unnoticed_s)
+        self._proven_until_s = max(ended_s, former.seen_s + self.unnoticed_s)
         _LOG.info(
             'former owner ended',
             owner=former.record.entry_id,
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -67,9 +68,9 @@
 class Tenure:
     """One period of ownership of a cell.
 
-    The record was known to be written at ``acquired_s``. Before
-    ``valid_until_s`` the lease can't have lapsed. Both are times of the boot
-    clock. Cancelling ``scope`` ends the tenure. The owner ``gives_way`` if it
+    The record was known to be written at ``acquired_s``, and the cell runs until
+    ``ended_s``. Before ``valid_until_s`` the lease can't have lapsed. All are
+    times of the boot clock. Cancelling ``scope`` ends the tenure. The owner ``gives_way`` if it
     leaves the cell to others because it can't serve it.
     """
 
@@ -78,6 +79,7 @@
     revision: int
     valid_until_s: float
     acquired_s: float
+    ended_s: float = math.inf
     gives_way: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -119,6 +121,7 @@
     run_cell: RunCell
     is_prepared: Callable[[], bool] = _always
     tenure: Tenure | None = None
+    latest_tenure: Tenure | None = None
     has_resigned: bool = False
     _gives_way_until_s: float = 0
 
@@ -253,12 +256,17 @@
             pause_s = _FAILED_PAUSE_S
             log_unexpected(f'cell {self.cell}')
         finally:
-            self.tenure = None
+            self._record_end(tenure, now_s=boot_s())
         _LOG.info('ownership ended', cell=self.cell, fence=tenure.revision)
         if not self.has_resigned:
             await self._release_lease(tenure)
             await trio.sleep(pause_s)
 
+    def _record_end(self, tenure: Tenure, *, now_s: float) -> None:
+        tenure.ended_s = now_s
+        self.tenure = None
+        self.latest_tenure = tenure
+
     async def _release_lease(self, tenure: Tenure) -> None:
         owner = self.view.owners.get(self.cell)
         if owner is not None and owner.revision == tenure.revision:
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -241,6 +241,8 @@
             tenure,
             self.view.succession,
             self.campaign.ttl_ms / _MS_PER_S + _HOLD_AFTER_EXPIRY_S,
+            _HOLD_AFTER_EXPIRY_S,
+            self.campaign.latest_tenure,
         )
         cell = Cell(
             ownership=CellOwnership(
--- a/tests/cells/cluster.py
+++ b/tests/cells/cluster.py
@@ -52,7 +52,11 @@
 from standins.simulated_worker import SimulatedWorker
 from standins.simulated_worker_client import MemoryWorkerClient
 from tests.cells.candidate import Candidate
-from tests.cells.entry_clients import former_owner_of, routed_client_of
+from tests.cells.entry_clients import (
+    HOLD_AFTER_EXPIRY_S,
+    former_owner_of,
+    routed_client_of,
+)
 from tests.plain_logs import use_plain_tracebacks
 
 use_plain_tracebacks()
@@ -62,7 +66,6 @@
 QUEUE = 'recipes'
 TTL_MS = 2_000
 HOLD_MS = 6_500
-HOLD_AFTER_EXPIRY_S = 1.2
 
 
 def run_with_clock(test: Callable[[], Awaitable[None]]) -> None:
--- a/tests/cells/entry_clients.py
+++ b/tests/cells/entry_clients.py
@@ -19,6 +19,8 @@
 from standins.relaying_entries import RelayingEntries
 from tests.cells.candidate import Candidate
 
+HOLD_AFTER_EXPIRY_S = 1.2
+
 
 def routed_client_of(
     candidate: Candidate,
@@ -49,10 +51,13 @@
     unnoticed_s: float,
 ) -> FormerOwner:
     """Return what an owner finds out about the one before it."""
+    campaign = candidate.campaign
     return FormerOwner(
         tenure,
         candidate.view.succession,
         unnoticed_s,
+        HOLD_AFTER_EXPIRY_S,
+        None if campaign is None else campaign.latest_tenure,
         partial(_ask_candidate, candidates),
     )
 
--- a/tests/cells/test_ended_owner.py
+++ b/tests/cells/test_ended_owner.py
@@ -29,6 +29,10 @@
 # A lasting task is to be at work this long after the last process was back.
 _AWAY_LIMIT_S = 10
 
+# The same after an outage in which the owner's lease has lapsed.
+_OUTAGE_S = 6
+_AFTER_OUTAGE_LIMIT_S = 5
+
 _SHORT_TENURE_S = 1
 _LONG_S = 60
 
@@ -40,6 +44,10 @@
         """Guards against the wait for an owner that can't go on."""
         run_with_clock(self._owner_is_lost)
 
+    def test_owner_follows_itself_after_an_outage(self) -> None:
+        """Guards against a process that waits for its own former tenure."""
+        run_with_clock(self._owner_follows_itself)
+
     def test_former_owner_goes_on(self) -> None:
         """Guards against a second run beside one that is still held."""
         run_with_clock(self._former_owner_goes_on)
@@ -63,6 +71,17 @@
             kill(scene.cluster, scene.owner)
             await scene.wait_at_work(limit_s=_AWAY_LIMIT_S)
 
+    async def _owner_follows_itself(self) -> None:
+        async with open_scene() as scene:
+            store = scene.cluster.store
+            store.is_down = True
+            await trio.sleep(_UNMARKED_S)
+            vanish(scene.cluster)
+            await trio.sleep(_OUTAGE_S)
+            store.state.apply([Write(owner_key(CELL), None)])
+            store.is_down = False
+            await scene.wait_at_work(limit_s=_AFTER_OUTAGE_LIMIT_S)
+
     async def _former_owner_goes_on(self) -> None:
         async with open_scene() as scene:
             await _supersede_unnoticed(scene)
--- a/tests/cells/test_former_owner.py
+++ b/tests/cells/test_former_owner.py
@@ -27,6 +27,7 @@
 _KEY = owner_key(CELL)
 _HOST = '127.0.0.1'
 _UNNOTICED_S = 3.2
+_HOLD_AFTER_EXPIRY_S = 1.2
 _LONG_TENURE_S = 30
 _SHORT_TENURE_S = 1
 _FENCE = 9
@@ -186,6 +187,8 @@
 
     now_s = trio.current_time()
     tenure = Tenure(CELL, LeaseId(1), _FENCE, now_s, now_s)
-    former_owner = FormerOwner(tenure, view.succession, _UNNOTICED_S, ask)
+    former_owner = FormerOwner(
+        tenure, view.succession, _UNNOTICED_S, _HOLD_AFTER_EXPIRY_S, None, ask
+    )
     await former_owner.run()
     return former_owner.may_extend_until_s()
