--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -281,20 +281,25 @@
         pause_s = self.ttl_ms / _MS_PER_S / _RENEWALS_PER_TTL
         is_failing = False
         while True:
+            due_s = boot_s() + pause_s
             await trio.sleep(pause_s)
             sent_s = boot_s()
             try:
                 exists = await self.store.keep_alive(tenure.lease)
             except Failure as failure:
                 if not is_failing:
-                    _LOG.warning('lease not renewed', error=str(failure))
+                    _log_failed_renewal(failure, due_s, sent_s)
                 is_failing = True
                 pause_s = _RENEWAL_RETRY_PAUSE_S
                 continue
             is_failing = False
             pause_s = self.ttl_ms / _MS_PER_S / _RENEWALS_PER_TTL
             if not exists:
-                _LOG.warning('lease lapsed', cell=self.cell)
+                _LOG.warning(
+                    'lease lapsed',
+                    cell=self.cell,
+                    late_s=round(sent_s - due_s, 3),
+                )
                 tenure.scope.cancel()
                 return
             tenure.valid_until_s = sent_s + self.ttl_ms / _MS_PER_S
@@ -316,3 +321,17 @@
                 _LOG.warning('owner record replaced or deleted', cell=self.cell)
                 tenure.scope.cancel()
                 return
+
+
+def _log_failed_renewal(failure: Failure, due_s: float, sent_s: float) -> None:
+    """Log the first of several failures of renewals.
+
+    ``late_s`` tells how late this process sent it, and ``took_s`` how long it
+    waited then; a process that is busy is late, and takes answers late.
+    """
+    _LOG.warning(
+        'lease not renewed',
+        error=str(failure),
+        late_s=round(sent_s - due_s, 3),
+        took_s=round(boot_s() - sent_s, 3),
+    )
