Contact the workers of a new owner a few at a time, those with runs first

Cause: a new owner began the polls of all workers in one round of its event loop. With 3,000 of them that round took 2.5 s, longer than its lease (2 s), so the lease was not renewed, the next owner did the same, and no work was done. It also went through all live runs for each worker of the list, 0.67 s and 0.76 s for 3,000 workers and 141 jobs. Tests: processor time simulated by the mock clock; without the turns, or with the search, owners lapse. Three mutants.

--- a/src/marjoramwharf/cells/link_context.py
+++ b/src/marjoramwharf/cells/link_context.py
@@ -7,6 +7,7 @@
 
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.end_acknowledgements import EndAcknowledgements
+from marjoramwharf.cells.poll_admission import PollAdmission
 from marjoramwharf.cells.worker_messages import WorkerClient
 from marjoramwharf.ids import TaskId, WorkerId
 from marjoramwharf.scheduling.fleet import Worker
@@ -51,7 +52,8 @@
     ``hold_ms`` is the length of the leases of runs, which is the same at all
     entries, and ``max_hold_ms`` the longest one that a worker grants.
     ``stop_ms`` is the longest time that a worker takes to stop a run. The
-    ``waiting_acknowledgements`` are those that wait for the store.
+    ``waiting_acknowledgements`` are those that wait for the store. Polls on new
+    connections wait for ``admission``.
     """
 
     worker_client: WorkerClient
@@ -63,3 +65,4 @@
     waiting_acknowledgements: set[EndAcknowledgements] = field(
         default_factory=set, repr=False
     )
+    admission: PollAdmission = field(default_factory=PollAdmission)
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -207,6 +207,7 @@
 
     async def _poll_unknown(self) -> _FetchedReport:
         """Ask on a new connection which incarnation is there."""
+        await self.context.admission.wait_turn(has_runs=bool(self.worker.runs))
         sent_s = boot_s()
         address = self.orders.address
         report = await self.context.worker_client.hold(
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
 import trio
@@ -61,14 +61,18 @@
     )
     _learners: dict[WorkerId, InterferenceLearner] = field(default_factory=dict)
     _nursery: trio.Nursery | None = None
+    # Live runs by worker, during a batch that has new workers.
+    _placed_runs: dict[WorkerId, list[Run]] | None = None
 
     def attach(self, nursery: trio.Nursery) -> None:
         """Set the nursery in which links and orders run."""
         self._nursery = nursery
+        nursery.start_soon(self.context.admission.run)
 
     async def apply(self, batch: WatchBatch) -> None:
         """Apply watch events of the platform's list of workers."""
         listed: set[WorkerId] = set()
+        self._placed_runs = None
         for event in batch.events:
             worker_id = WorkerId(event.key.removeprefix(self.prefix))
             if self._apply_event(event):
@@ -215,9 +219,8 @@
         """Track a new worker, and reserve for the runs placed there before."""
         worker_id = worker.worker_id
         self.fleet.workers[worker_id] = worker
-        for run in self.job_table.live_runs():
-            if run.worker_id == worker_id:
-                worker.add(run)
+        for run in self._runs_placed_at(worker_id):
+            worker.add(run)
         link = WorkerLink(worker=worker, owner=self.owner, context=self.context)
         self.links[worker_id] = link
         self._pace_controllers[worker_id] = PaceController(
@@ -229,6 +232,19 @@
         if self._nursery is not None:
             self._nursery.start_soon(link.run)
 
+    def _runs_placed_at(self, worker_id: WorkerId) -> Sequence[Run]:
+        """Return the live runs at a worker that isn't tracked yet.
+
+        A new owner adds all workers in one batch, so that a search for the runs
+        of each would go through all jobs as often as there are workers.
+        """
+        if self._placed_runs is None:
+            self._placed_runs = {}
+            for run in self.job_table.live_runs():
+                runs = self._placed_runs.setdefault(run.worker_id, [])
+                runs.append(run)
+        return self._placed_runs.get(worker_id, [])
+
     def _mark_gone(self, worker_id: WorkerId) -> None:
         worker = self.fleet.workers.get(worker_id)
         if worker is None or worker.listing.state is WorkerState.GONE:
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import replace
@@ -25,6 +26,7 @@
 from marjoramwharf.cells.owner_reach import OwnerReach
 from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.plan_loop import PlanLoop
+from marjoramwharf.cells.poll_admission import PollAdmission
 from marjoramwharf.cells.progress_writer import ProgressWriter
 from marjoramwharf.cells.records import LapsingMark, lapsing_key
 from marjoramwharf.cells.report_processor import ReportProcessor
@@ -39,6 +41,7 @@
     WorkerAddress,
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
+from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.cells.worker_routes import DIRECT, Route, WorkerRoutes
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.links.store import Guard
@@ -58,6 +61,7 @@
 _run_writer = ProgressWriter.run
 _load_marks = LapsingWorkers.load
 _write_marks = LapsingWorkers._write
+_wait_turn = PollAdmission.wait_turn
 
 
 async def _start_without_fence(self: WorkerOrders, run: Run) -> OrderAnswer:
@@ -118,6 +122,16 @@
     return run.phase is RunPhase.ORDERED or run.is_start_unconfirmed
 
 
+async def _wait_turn_in_order(self: PollAdmission, *, has_runs: bool) -> None:
+    await _wait_turn(self, has_runs=False)
+
+
+def _search_runs(self: WorkerRegistry, worker_id: WorkerId) -> list[Run]:
+    return [
+        run for run in self.job_table.live_runs() if run.worker_id == worker_id
+    ]
+
+
 async def _write_unguarded(self: ProgressWriter) -> None:
     self.ownership_guard = Guard('nobody', 0)
     await _run_writer(self)
@@ -301,6 +315,15 @@
     'a job that cannot be scheduled hides no other': lambda: patch.object(
         Inbox, '_left_out_on_error', nullcontext
     ),
+    'few polls begin in one round of the event loop': lambda: patch(
+        f'{PollAdmission.__module__}._POLLS_PER_ROUND_COUNT', math.inf
+    ),
+    'workers with runs are contacted first': lambda: patch.object(
+        PollAdmission, 'wait_turn', _wait_turn_in_order
+    ),
+    'the runs of a new owner are gone through once': lambda: patch.object(
+        WorkerRegistry, '_runs_placed_at', _search_runs
+    ),
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
