--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 
 import trio
@@ -68,15 +68,19 @@
     )
     _learners: dict[WorkerId, InterferenceLearner] = field(default_factory=dict)
     _nursery: trio.Nursery | None = None
+    # Live runs by worker, while new workers are added.
+    _placed_runs: dict[WorkerId, list[Run]] | None = None
 
     def attach(self, nursery: trio.Nursery) -> None:
         """Set the nursery in which links and orders run."""
         self._nursery = nursery
+        nursery.start_soon(self.context.admission.run)
 
     async def apply(self, batch: WatchBatch) -> None:
         """Apply watch events of the platform's list of workers."""
         now_s = boot_s()
         listed: set[WorkerId] = set()
+        self._placed_runs = None
         for event in batch.events:
             worker_id = WorkerId(event.key.removeprefix(self.prefix))
             if event.stored is None:
@@ -94,6 +98,7 @@
         self, listings: Iterable[WorkerListing], *, now_s: float
     ) -> None:
         """Track the workers that a former owner knew, until the list is read."""
+        self._placed_runs = None
         for listing in listings:
             worker = Worker(listing, is_listed=False, unlisted_at_s=now_s)
             self._add_worker(worker)
@@ -107,6 +112,7 @@
         """
         if worker_id in self.fleet.workers:
             return
+        self._placed_runs = None
         worker = Worker(
             replacement_listing(former.listing, worker_id),
             is_listed=False,
@@ -257,9 +263,8 @@
         worker_id = worker.worker_id
         self.fleet.workers[worker_id] = worker
         self.on_worker_changed(worker_id)
-        for run in self.job_table.live_runs():
-            if run.worker_id == worker_id:
-                worker.add(run)
+        for run in self._runs_placed_at(worker_id):
+            worker.add(run)
         link = WorkerLink(worker=worker, owner=self.owner, context=self.context)
         self.links[worker_id] = link
         self._pace_controllers[worker_id] = PaceController(
@@ -271,6 +276,19 @@
         if self._nursery is not None:
             self._nursery.start_soon(link.run)
 
+    def _runs_placed_at(self, worker_id: WorkerId) -> Sequence[Run]:
+        """Return the live runs at a worker that isn't tracked yet.
+
+        A new owner adds all workers in one batch, so that a search for the runs
+        of each would go through all jobs as often as there are workers.
+        """
+        if self._placed_runs is None:
+            self._placed_runs = {}
+            for run in self.job_table.live_runs():
+                runs = self._placed_runs.setdefault(run.worker_id, [])
+                runs.append(run)
+        return self._placed_runs.get(worker_id, [])
+
     def _record_listed(self, worker: Worker, listing: WorkerListing) -> None:
         if not worker.is_listed:
             worker.is_listed = True
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -23,6 +23,7 @@
     'test_cell',
     'test_late_answers',
     'test_malformed_records',
+    'test_many_workers',
     'test_next_incarnation',
     'test_restarted_workers',
     'test_connection_use',
