Ask a former owner that is alive when its tenure ended

Change: a new owner asks at the former one's address; the process that had that tenure tells how long ago it could last extend leases, or that it goes on. The age is rounded so that the end is never taken for earlier than it was. The page of metrics opens its port itself.

--- a/src/marjoramwharf/cells/former_owner.py
+++ b/src/marjoramwharf/cells/former_owner.py
@@ -4,7 +4,8 @@
 lease has certainly expired. One whose process has ended extends nothing more.
 That its address refuses connections doesn't show this, since the path may be
 at fault. It shows once another process of the same entry listens there, which
-is only possible when the earlier one is gone.
+is only possible when the earlier one is gone. One that is alive and has noticed
+tells when its tenure ended.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from marjoramwharf.cells.owner_succession import OwnerSuccession, SeenOwner
 from marjoramwharf.cells.ownership import Tenure
 from marjoramwharf.cells.records import EntryRecord
+from marjoramwharf.cells.tenure_end import last_extension_s
 from marjoramwharf.errors import Failure
 from marjoramwharf.links.peer_client import fetch_identity
 from marjoramwharf.links.peer_messages import PeerIdentity
@@ -35,6 +37,10 @@
 # ``Failure`` if nobody does.
 AskIdentity = Callable[[EntryRecord], Awaitable[PeerIdentity]]
 
+# Returns how long ago the tenure with a fence could last extend leases, ``None``
+# if it goes on or isn't told.
+AskTenureEnd = Callable[[EntryRecord, int], Awaitable[float | None]]
+
 
 async def ask_identity(record: EntryRecord) -> PeerIdentity:
     """Ask the process at the address of an entry who it is."""
@@ -56,6 +62,7 @@
     unnoticed_s: float
     hold_after_expiry_s: float
     own_former: Tenure | None
+    ask_tenure_end: AskTenureEnd
     ask: AskIdentity = ask_identity
     _proven_until_s: float = math.inf
 
@@ -79,10 +86,24 @@
         """Return a time at which a former owner had ended, if that is known."""
         own = self.own_former
         if own is not None and own.revision == former.revision:
-            return min(
-                own.ended_s, own.valid_until_s + self.hold_after_expiry_s
-            )
-        return boot_s() if await self._has_ended(former) else None
+            return last_extension_s(own, self.hold_after_expiry_s)
+        with trio.move_on_after(_ATTEMPT_TIMEOUT_S):
+            try:
+                return await self._ask_for_end(former)
+            except (OSError, Failure) as failure:
+                _LOG.debug('former owner not asked', error=repr(failure))
+        return None
+
+    async def _ask_for_end(self, former: SeenOwner) -> float | None:
+        """Ask at the former owner's address; raises if nobody answers."""
+        identity = await self.ask(former.record)
+        if _is_later(identity, former.record):
+            return boot_s()
+        if identity.incarnation != former.record.incarnation:
+            return None
+        age_s = await self.ask_tenure_end(former.record, former.revision)
+        # The answer was given before now, so the end was no later than this.
+        return None if age_s is None else boot_s() - age_s
 
     def may_extend_until_s(self) -> float:
         """Return until when any former owner may extend leases of runs.
@@ -93,16 +114,6 @@
         unnoticed_until_s = self.tenure.acquired_s + self.unnoticed_s
         return min(unnoticed_until_s, self._proven_until_s)
 
-    async def _has_ended(self, former: SeenOwner) -> bool:
-        """Whether another process listens at the former owner's address."""
-        identity: PeerIdentity | None = None
-        with trio.move_on_after(_ATTEMPT_TIMEOUT_S):
-            try:
-                identity = await self.ask(former.record)
-            except (OSError, Failure) as failure:
-                _LOG.debug('former owner not asked', error=repr(failure))
-        return identity is not None and _is_later(identity, former.record)
-
     def _record_end(self, former: SeenOwner, *, ended_s: float) -> None:
         """Wait only for the owners before one that has ended.
 
--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -18,8 +18,14 @@
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.links.http_client import HttpClient
-from marjoramwharf.links.http_server import HttpRequest, HttpResponse
+from marjoramwharf.links.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    open_listener,
+)
 from marjoramwharf.log_output import BoundedOutput
+from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import Fleet
 from marjoramwharf.scheduling.waiting_reasons import (
     FLEET_REASONS,
@@ -29,6 +35,11 @@
 )
 from marjoramwharf.scheduling.waiting_tasks import oldest_wait_s
 
+_LOG = part_logger('main')
+
+# Named in deploy/system.toml.
+METRICS_PORT = 9464
+
 _PREFIX = 'marjoramwharf_'
 _BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 _NOT_FOUND = 404
@@ -135,6 +146,18 @@
         }
 
 
+async def listen_for_metrics(
+    nursery: trio.Nursery, metrics: CellMetrics, host: str
+) -> None:
+    """Serve the metrics page in a nursery, if the port is free."""
+    try:
+        listener = await open_listener(host, METRICS_PORT)
+    except OSError as failure:
+        _LOG.warning('metrics port not opened', error=str(failure))
+        return
+    nursery.start_soon(HttpServer(metrics.handle).serve, listener)
+
+
 class _MetricsPage:
     """The metrics page, rendered by the metrics library."""
 
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -29,6 +29,11 @@
     EntryRecord,
     incarnation_of,
 )
+from marjoramwharf.cells.tenure_end import (
+    TENURE_END_METHOD,
+    answer_tenure_end,
+    ask_tenure_end,
+)
 from marjoramwharf.cells.worker_relay import WORKER_METHOD
 from marjoramwharf.errors import BadSettings
 from marjoramwharf.ids import random_id
@@ -59,7 +64,7 @@
     WORKERS_PREFIX,
     decode_listing,
 )
-from marjoramwharf.programs._cell_metrics import CellMetrics
+from marjoramwharf.programs._cell_metrics import CellMetrics, listen_for_metrics
 from marjoramwharf.programs._operator_requests import OperatorRequests
 from marjoramwharf.programs._stop_signals import wait_for_stop
 from marjoramwharf.programs._worker_paths import WorkerPaths
@@ -67,8 +72,6 @@
 _LOG = part_logger('main')
 _CELL = CellId(0)
 
-# Named in deploy/system.toml.
-METRICS_PORT = 9464
 _MS_PER_S = 1_000
 
 # Longer than the store takes when it is a hundred times slower than usual. A
@@ -243,6 +246,7 @@
             self.campaign.ttl_ms / _MS_PER_S + _HOLD_AFTER_EXPIRY_S,
             _HOLD_AFTER_EXPIRY_S,
             self.campaign.latest_tenure,
+            partial(ask_tenure_end, self.identity, tenure.cell),
         )
         cell = Cell(
             ownership=CellOwnership(
@@ -305,6 +309,13 @@
             )
         if call.method == WORKER_METHOD:
             return await self.worker_paths.answer(call)
+        if call.method == TENURE_END_METHOD:
+            return answer_tenure_end(
+                self.campaign.latest_tenure,
+                _HOLD_AFTER_EXPIRY_S,
+                call,
+                now_s=boot_s(),
+            )
         return await answer_job_call(self.owned_cell, sender, call)
 
     def _direct_store(self, client: HttpClient, timeout_s: float) -> KvStore:
@@ -328,16 +339,6 @@
             ready = HttpServer(partial(answer_readiness, self.is_ready))
             listener = await open_listener(*settings.ready)
             nursery.start_soon(ready.serve, listener)
-        await self._listen_for_metrics(nursery)
-        peers = PeerServer(
-            {ttypes.JobCall: self._answer_peer},
-            identity=self.identity,
-            secret=self.secret,
-        )
-        listener = await open_listener(settings.host, settings.peer_ports[0])
-        nursery.start_soon(trio.serve_listeners, peers.serve, [listener])
-
-    async def _listen_for_metrics(self, nursery: trio.Nursery) -> None:
         metrics = CellMetrics(
             self.counters,
             self.client,
@@ -345,12 +346,14 @@
             self.owned_cell,
             lambda: self.worker_paths.routes.relayed_count,
         )
-        try:
-            listener = await open_listener(self.settings.host, METRICS_PORT)
-        except OSError as failure:
-            _LOG.warning('metrics port not opened', error=str(failure))
-            return
-        nursery.start_soon(HttpServer(metrics.handle).serve, listener)
+        await listen_for_metrics(nursery, metrics, settings.host)
+        peers = PeerServer(
+            {ttypes.JobCall: self._answer_peer},
+            identity=self.identity,
+            secret=self.secret,
+        )
+        listener = await open_listener(settings.host, settings.peer_ports[0])
+        nursery.start_soon(trio.serve_listeners, peers.serve, [listener])
 
     async def _stop(self) -> None:
         """Hand the cell over, then finish the requests that are in flight."""
--- a/tests/cells/entry_clients.py
+++ b/tests/cells/entry_clients.py
@@ -7,10 +7,12 @@
 
 import trio
 
+from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.former_owner import FormerOwner
 from marjoramwharf.cells.ownership import Tenure
 from marjoramwharf.cells.records import EntryRecord
 from marjoramwharf.cells.routed_worker_client import RoutedWorkerClient
+from marjoramwharf.cells.tenure_end import last_extension_s
 from marjoramwharf.cells.worker_messages import WorkerClient
 from marjoramwharf.ids import DataCentreId, EntryId
 from marjoramwharf.links.peer_messages import PeerIdentity
@@ -58,10 +60,23 @@
         unnoticed_s,
         HOLD_AFTER_EXPIRY_S,
         None if campaign is None else campaign.latest_tenure,
+        partial(_ask_tenure_end, candidates),
         partial(_ask_candidate, candidates),
     )
 
 
+async def _ask_tenure_end(
+    candidates: Sequence[Candidate], record: EntryRecord, fence: int
+) -> float | None:
+    """Return how long ago a former owner could last extend leases."""
+    await trio.lowlevel.checkpoint()
+    for other in candidates:
+        latest = other.campaign and other.campaign.latest_tenure
+        if latest and latest.revision == fence:
+            return boot_s() - last_extension_s(latest, HOLD_AFTER_EXPIRY_S)
+    return None
+
+
 async def _ask_candidate(
     candidates: Sequence[Candidate], record: EntryRecord
 ) -> PeerIdentity:
--- a/tests/cells/former_owner_mutants.py
+++ b/tests/cells/former_owner_mutants.py
@@ -7,12 +7,14 @@
 from typing import Any
 from unittest.mock import patch
 
+from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.former_owner import FormerOwner
 from marjoramwharf.cells.owner_succession import OwnerSuccession, SeenOwner
 from marjoramwharf.cells.records import EntryRecord
+from marjoramwharf.errors import Failure
 from marjoramwharf.links.peer_messages import PeerIdentity
 
-_has_ended = FormerOwner._has_ended
+_ask_for_end = FormerOwner._ask_for_end
 
 
 def _always(*_args: object, **_named: object) -> bool:
@@ -23,17 +25,19 @@
     """Forget no owner."""
 
 
-async def _has_ended_or_is_silent(self: FormerOwner, former: SeenOwner) -> bool:
-    answers: list[PeerIdentity] = []
-    ask = self.ask
+async def _end_or_silence(self: FormerOwner, former: SeenOwner) -> float | None:
+    try:
+        return await _ask_for_end(self, former)
+    except (OSError, Failure):
+        return boot_s()
 
-    async def ask_and_keep(record: EntryRecord) -> PeerIdentity:
-        answers.append(await ask(record))
-        return answers[0]
 
-    with patch.object(self, 'ask', ask_and_keep):
-        has_ended = await _has_ended(self, former)
-    return has_ended or not answers
+async def _goes_on_or_has_ended(
+    self: FormerOwner, former: SeenOwner
+) -> float | None:
+    """Take any answer of a former owner for one that its tenure ended."""
+    await self.ask(former.record)
+    return boot_s()
 
 
 def _is_any_other_process(identity: PeerIdentity, record: EntryRecord) -> bool:
@@ -41,9 +45,9 @@
 
 
 def _forget_earlier_owners(
-    self: FormerOwner, _former: SeenOwner, *, now_s: float
+    self: FormerOwner, _former: SeenOwner, *, ended_s: float
 ) -> None:
-    self._proven_until_s = now_s
+    self._proven_until_s = ended_s
 
 
 FORMER_OWNER_MUTANTS: Mapping[
@@ -56,7 +60,10 @@
         f'{FormerOwner.__module__}._is_later', _is_any_other_process
     ),
     'silence does not show that a former owner has ended': lambda: patch.object(
-        FormerOwner, '_has_ended', _has_ended_or_is_silent
+        FormerOwner, '_ask_for_end', _end_or_silence
+    ),
+    'a former owner that answers may go on': lambda: patch.object(
+        FormerOwner, '_ask_for_end', _goes_on_or_has_ended
     ),
     'owners before one that has ended are waited for': lambda: patch.object(
         FormerOwner, '_record_end', _forget_earlier_owners
--- a/tests/cells/test_ended_owner.py
+++ b/tests/cells/test_ended_owner.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from marjoramwharf.cells.ownership import Campaign
 from marjoramwharf.cells.records import owner_key
 from marjoramwharf.links.store import Write
 from tests.cells.candidate import Candidate
@@ -48,6 +49,10 @@
         """Guards against a process that waits for its own former tenure."""
         run_with_clock(self._owner_follows_itself)
 
+    def test_another_owner_follows_after_an_outage(self) -> None:
+        """Guards against a wait whose end the former owner knows."""
+        run_with_clock(self._another_follows)
+
     def test_former_owner_goes_on(self) -> None:
         """Guards against a second run beside one that is still held."""
         run_with_clock(self._former_owner_goes_on)
@@ -82,6 +87,21 @@
             store.is_down = False
             await scene.wait_at_work(limit_s=_AFTER_OUTAGE_LIMIT_S)
 
+    async def _another_follows(self) -> None:
+        async with open_scene() as scene:
+            reserve = spawn_reserve(scene)
+            await trio.sleep(POLLED_S)
+            store = scene.cluster.store
+            store.is_down = True
+            await trio.sleep(_UNMARKED_S)
+            vanish(scene.cluster)
+            await trio.sleep(_OUTAGE_S)
+            _campaign_of(scene.owner).has_resigned = True
+            _campaign_of(reserve).has_resigned = False
+            store.state.apply([Write(owner_key(CELL), None)])
+            store.is_down = False
+            await scene.wait_at_work(limit_s=_AFTER_OUTAGE_LIMIT_S)
+
     async def _former_owner_goes_on(self) -> None:
         async with open_scene() as scene:
             await _supersede_unnoticed(scene)
@@ -120,6 +140,12 @@
     return await next_owner(cluster, besides=owner)
 
 
+def _campaign_of(candidate: Candidate) -> Campaign:
+    if candidate.campaign is None:
+        raise AssertionError('the candidate does not campaign')
+    return candidate.campaign
+
+
 def _cut_off(candidate: Candidate, owner: Candidate) -> None:
     """Leave an entry no path to the workers that only the owner reaches."""
     candidate.unreachable.update(GONE)
--- a/tests/cells/test_former_owner.py
+++ b/tests/cells/test_former_owner.py
@@ -4,6 +4,7 @@
 
 import unittest
 from dataclasses import replace
+from functools import partial
 
 import trio
 
@@ -16,18 +17,21 @@
     incarnation_of,
     owner_key,
 )
+from marjoramwharf.cells.tenure_end import answer_tenure_end, ask_tenure_end
 from marjoramwharf.errors import PeerUnreachable
 from marjoramwharf.ids import DataCentreId, EntryId, LeaseId
 from marjoramwharf.links.http_server import open_listener
-from marjoramwharf.links.peer_messages import PeerIdentity
+from marjoramwharf.links.peer_messages import Message, PeerIdentity
 from marjoramwharf.links.peer_server import PeerServer
 from marjoramwharf.links.store import StoredValue, StoreEvent, WatchBatch
+from marjoramwharf.links.thrift_types.peer import ttypes
 from tests.cells.cluster import CELL, run_with_clock
 
 _KEY = owner_key(CELL)
 _HOST = '127.0.0.1'
 _UNNOTICED_S = 3.2
 _HOLD_AFTER_EXPIRY_S = 1.2
+_ENDED_AGO_S = 5
 _LONG_TENURE_S = 30
 _SHORT_TENURE_S = 1
 _FENCE = 9
@@ -57,6 +61,14 @@
         """Guards against an owner that is alive and counts as ended."""
         run_with_clock(self._same_process_answers)
 
+    def test_former_owner_tells_its_end(self) -> None:
+        """Guards against a wait whose end the former owner knows."""
+        run_with_clock(self._same_process_tells)
+
+    def test_former_owner_tells_over_a_connection(self) -> None:
+        """Guards against an end that is read earlier than it was."""
+        trio.run(self._tells_over_a_connection)
+
     def test_another_entry_answers(self) -> None:
         """Guards against an address that was given away."""
         run_with_clock(self._another_entry_answers)
@@ -98,6 +110,34 @@
         same = replace(_RESTARTED, incarnation=_FORMER.incarnation)
         self.assertFalse(await _is_spared(view, same))
 
+    async def _same_process_tells(self) -> None:
+        view = await _open_view()
+        await trio.sleep(_LONG_TENURE_S)
+        await view.apply(_batch(_written(_OWN, _FENCE)))
+        same = replace(_RESTARTED, incarnation=_FORMER.incarnation)
+        until_s = await _may_extend_until_s(view, same, age_s=_ENDED_AGO_S)
+        self.assertEqual(until_s, trio.current_time() - _ENDED_AGO_S)
+
+    async def _tells_over_a_connection(self) -> None:
+        tenure = Tenure(CELL, LeaseId(1), _FENCE, 20, 10, ended_s=28)
+        handle = partial(_answer_tenure_end, tenure)
+        own = PeerIdentity(EntryId('e2'), _OWN.incarnation, DataCentreId('dc'))
+        listener = await open_listener(_HOST, 0)
+        port = listener.socket.getsockname()[1]
+        record = EntryRecord('e1', _HOST, port, _FORMER.secret)
+        server = PeerServer(
+            {ttypes.JobCall: handle},
+            identity=replace(_RESTARTED, incarnation=record.incarnation),
+            secret=record.secret,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, server.serve, [listener])
+            ended = await ask_tenure_end(own, CELL, record, _FENCE)
+            unknown = await ask_tenure_end(own, CELL, record, _FENCE + 1)
+            nursery.cancel_scope.cancel()
+        self.assertAlmostEqual(30 - 20 - _HOLD_AFTER_EXPIRY_S, ended or 0)
+        self.assertIsNone(unknown)
+
     async def _another_entry_answers(self) -> None:
         view = await _open_view()
         await trio.sleep(_LONG_TENURE_S)
@@ -157,6 +197,13 @@
             nursery.cancel_scope.cancel()
 
 
+async def _answer_tenure_end(
+    tenure: Tenure, _sender: PeerIdentity, call: Message
+) -> Message:
+    await trio.lowlevel.checkpoint()
+    return answer_tenure_end(tenure, _HOLD_AFTER_EXPIRY_S, call, now_s=30)
+
+
 async def _open_view(record: EntryRecord = _FORMER) -> OwnerView:
     """Return a view that has seen one owner, at revision 1."""
     view = OwnerView()
@@ -175,9 +222,15 @@
 
 
 async def _may_extend_until_s(
-    view: OwnerView, answer: PeerIdentity | None
+    view: OwnerView,
+    answer: PeerIdentity | None,
+    *,
+    age_s: float | None = None,
 ) -> float:
-    """Return until when a former owner may extend, as far as is found out."""
+    """Return until when a former owner may extend, as far as is found out.
+
+    It says that its tenure ended ``age_s`` ago, or that it goes on.
+    """
 
     async def ask(_record: EntryRecord) -> PeerIdentity:
         await trio.lowlevel.checkpoint()
@@ -185,10 +238,20 @@
             raise PeerUnreachable(message='nobody answers')
         return answer
 
+    async def ask_tenure_end(_record: EntryRecord, _fence: int) -> float | None:
+        await trio.lowlevel.checkpoint()
+        return age_s
+
     now_s = trio.current_time()
     tenure = Tenure(CELL, LeaseId(1), _FENCE, now_s, now_s)
     former_owner = FormerOwner(
-        tenure, view.succession, _UNNOTICED_S, _HOLD_AFTER_EXPIRY_S, None, ask
+        tenure,
+        view.succession,
+        _UNNOTICED_S,
+        _HOLD_AFTER_EXPIRY_S,
+        None,
+        ask_tenure_end,
+        ask,
     )
     await former_owner.run()
     return former_owner.may_extend_until_s()
--- a/tests/cells/test_restarted_workers.py
+++ b/tests/cells/test_restarted_workers.py
@@ -28,9 +28,9 @@
     step,
 )
 from tests.cells.restarts import (
-    LISTED_S,
     ALMOST_NOTICED_S,
     CLOCK_LEAD_MS,
+    LISTED_S,
     LONG,
     RESTARTED,
     elect,
