--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -29,7 +29,10 @@
 from marjoramwharf.cells.records import inbox_prefix
 from marjoramwharf.cells.run_mover import RunMover
 from marjoramwharf.cells.succession import Succession, build_succession
-from marjoramwharf.cells.unlisted_workers import may_be_replaced
+from marjoramwharf.cells.unlisted_workers import (
+    enforces_capacity,
+    may_use_replacement,
+)
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.ids import JobId, TaskId, WorkerId
 from marjoramwharf.isolation import run_restarted
@@ -196,7 +199,7 @@
         )
         async with trio.open_nursery() as nursery:
             self.worker_registry.attach(nursery)
-            self.worker_registry.restore(known_workers, now_s=boot_s())
+            self.worker_registry.restore(known_workers)
             nursery.start_soon(self._progress_writer.run)
             self._succession.start(nursery)
             nursery.start_soon(inbox.run)
@@ -285,10 +288,14 @@
         """
         return await self._succession.lapsing.allow_extending(worker_id)
 
-    def on_replaced(self, former: Worker, worker_id: WorkerId) -> None:
-        """Use a worker that answers in the place of a former one, if allowed."""
-        if may_be_replaced(former, self.context.configuration()):
+    def on_replaced(self, former: Worker, worker_id: WorkerId) -> bool:
+        """Use a worker in the place of a former one, if allowed.
+
+        Returns whether it is known from now on.
+        """
+        if may_use_replacement(former, self.context.configuration()):
             self.worker_registry.adopt(former, worker_id, now_s=boot_s())
+        return worker_id in self.worker_registry.fleet.workers
 
     def on_superseded(self) -> None:
         """Give up the cell, since a worker has seen a higher fence."""
@@ -335,6 +342,10 @@
 
     def on_polled(self, worker_id: WorkerId) -> None:
         """Update the worker's paces and wake the planner after a poll."""
+        worker = self.worker_registry.fleet.workers[worker_id]
+        worker.refuses_overload = enforces_capacity(
+            worker.listing.service, self.context.configuration()
+        )
         self.worker_registry.update_paces(worker_id)
         self._plan_signal.set()
 
--- a/src/marjoramwharf/cells/link_context.py
+++ b/src/marjoramwharf/cells/link_context.py
@@ -32,8 +32,8 @@
     def on_polled(self, worker_id: WorkerId) -> None:
         """React to a poll whose report has been processed."""
 
-    def on_replaced(self, former: Worker, worker_id: WorkerId) -> None:
-        """React to a worker that answers in the place of a former one."""
+    def on_replaced(self, former: Worker, worker_id: WorkerId) -> bool:
+        """Tell of a worker in the place of a former one; return if it is known."""
 
     def may_start_runs(self, worker: Worker) -> bool:
         """Whether this entry may send orders to start runs at a worker."""
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -113,7 +113,7 @@
         self.lapsing.mark(lost & former)
 
     def _lost_workers(self) -> set[WorkerId]:
-        """Return the workers with runs that don't answer or aren't listed."""
+        """Return the workers with runs that don't answer or aren't tracked."""
         workers = self.worker_registry.fleet.workers
         lost = {
             worker_id
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -246,6 +246,7 @@
             _LOG.info('worker reached', worker=self.worker.worker_id)
         self.worker.is_reachable = True
         self.worker.is_replaced = False
+        self.worker.is_replacement_known = False
         self._reached_address = address
 
     def _is_replaced(
@@ -263,15 +264,18 @@
     def _record_replaced(self, other_id: WorkerId | None) -> None:
         """Record which worker has taken the place of this one, if it tells."""
         self.worker.is_replaced = True
-        if other_id is None or other_id == self._replaced_by:
+        if other_id is None:
             return
-        self._replaced_by = other_id
-        _LOG.info(
-            'another worker answers',
-            worker=self.worker.worker_id,
-            other=other_id,
+        if other_id != self._replaced_by:
+            self._replaced_by = other_id
+            _LOG.info(
+                'another worker answers',
+                worker=self.worker.worker_id,
+                other=other_id,
+            )
+        self.worker.is_replacement_known = self.owner.on_replaced(
+            self.worker, other_id
         )
-        self.owner.on_replaced(self.worker, other_id)
 
     def _record_unreachable(
         self, outcome: OrderOutcome, *, is_replaced: bool = False
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -11,6 +11,7 @@
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
 from marjoramwharf.cells.unlisted_workers import (
     LISTING_WAIT_S,
+    is_worth_handing_over,
     may_be_forgotten,
     replacement_listing,
 )
@@ -42,7 +43,7 @@
 
 @dataclass(slots=True)
 class WorkerRegistry:
-    """Tracks the workers that the platform lists and runs a link to each.
+    """Tracks the workers that are listed or answer, and runs a link to each.
 
     A tail latency may be over its target for ``max_over_target_s``. A draining
     worker that doesn't state how much time it has left has ``drain_ms``.
@@ -68,6 +69,7 @@
     )
     _learners: dict[WorkerId, InterferenceLearner] = field(default_factory=dict)
     _nursery: trio.Nursery | None = None
+    _restorable: tuple[WorkerListing, ...] = ()
     # Live runs by worker, while new workers are added.
     _placed_runs: dict[WorkerId, list[Run]] | None = None
 
@@ -92,38 +94,49 @@
         if batch.restarted:
             for tracked_id in self.fleet.workers.keys() - listed:
                 self._mark_unlisted(tracked_id, now_s)
+            self._add_restorable(listed, now_s)
         self.on_change()
 
-    def restore(
-        self, listings: Iterable[WorkerListing], *, now_s: float
-    ) -> None:
-        """Track the workers that a former owner knew, until the list is read."""
-        self._placed_runs = None
-        for listing in listings:
-            worker = Worker(listing, is_listed=False, unlisted_at_s=now_s)
-            self._add_worker(worker)
-
-    def adopt(
-        self, former: Worker, worker_id: WorkerId, *, now_s: float
-    ) -> None:
-        """Track a worker that answers in the place of a former one.
+    def restore(self, listings: Iterable[WorkerListing]) -> None:
+        """Track the workers that a former owner knew and the list lacks.
 
-        It gets runs if the list doesn't show it before long.
+        They are added once the list has been read, which may say otherwise.
         """
-        if worker_id in self.fleet.workers:
-            return
+        self._restorable = tuple(listings)
+
+    def _add_restorable(self, listed: set[WorkerId], now_s: float) -> None:
+        restorable = self._restorable
+        self._restorable = ()
+        for listing in restorable:
+            if listing.worker_id not in listed:
+                self._add_unlisted(listing, now_s)
+
+    def _add_unlisted(self, listing: WorkerListing, now_s: float) -> None:
+        """Track a worker that gets runs if the list doesn't show it soon."""
         self._placed_runs = None
         worker = Worker(
-            replacement_listing(former.listing, worker_id),
+            listing,
             is_listed=False,
             unlisted_at_s=now_s,
             blocked_until_s=now_s + LISTING_WAIT_S,
         )
         self._add_worker(worker)
 
+    def adopt(
+        self, former: Worker, worker_id: WorkerId, *, now_s: float
+    ) -> None:
+        """Track a worker that answers in the place of a former one."""
+        if worker_id not in self.fleet.workers:
+            listing = replacement_listing(former.listing, worker_id)
+            self._add_unlisted(listing, now_s)
+
     def listings(self) -> list[WorkerListing]:
-        """Return the latest listing of each tracked worker."""
-        return [worker.listing for worker in self.fleet.workers.values()]
+        """Return the latest listing of each worker that the next owner asks."""
+        return [
+            worker.listing
+            for worker in self.fleet.workers.values()
+            if not worker.is_left_out
+        ]
 
     def start(self, run: Run) -> bool:
         """Send the start order of a run; return whether its worker is known."""
@@ -198,6 +211,14 @@
         for worker in tuple(self.fleet.workers.values()):
             if may_be_forgotten(worker, now_s=now_s):
                 self._remove(worker, now_s)
+            else:
+                self._judge_for_next_owner(worker, now_s)
+
+    def _judge_for_next_owner(self, worker: Worker, now_s: float) -> None:
+        is_left_out = not is_worth_handing_over(worker, now_s=now_s)
+        if worker.is_left_out != is_left_out:
+            worker.is_left_out = is_left_out
+            self.on_worker_changed(worker.worker_id)
 
     def _remove(self, worker: Worker, now_s: float) -> None:
         worker_id = worker.worker_id
--- a/src/marjoramwharf/platform/worker_client.py
+++ b/src/marjoramwharf/platform/worker_client.py
@@ -36,11 +36,11 @@
 from marjoramwharf.scheduling.job_state import RunEnd
 
 _LOG = part_logger('worker')
-# Holds the worker id, which the platform calls instance. A worker keeps its id
-# when it starts again, so this doesn't tell its incarnations.
+# Holds the worker id, which the platform calls instance. A worker may keep its
+# id when it starts again, so this doesn't tell its incarnations.
 _INCARNATION_HEADER = 'X-Marjoramwharf-Target-Instance'
 
-# Names the incarnation that refuses a call meant for another one.
+# Holds the id of the worker that refuses a call meant for another one.
 _ANSWERING_HEADER = 'x-marjoramwharf-instance-id'
 _MAX_WORKER_ID_CHARACTERS = 200
 _CONFLICT = 409
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -98,8 +98,11 @@
     compared with that of other workers by the runs that ended there. The owner
     saw the latest version of the listing, ``listing_revision`` of the store, at
     ``listed_at_s``, and that there is none any more at ``unlisted_at_s``. The
-    worker ``is_replaced`` while another one answers at its address. Times in
-    seconds are those of the boot clock.
+    worker ``is_replaced`` once another one has answered at its address, until it
+    answers again; that other one may be known by its id. One that
+    ``refuses_overload`` starts nothing beyond its capacity. The next owner isn't
+    told of one that ``is_left_out``. Times in seconds are those of the boot
+    clock.
     """
 
     listing: WorkerListing
@@ -124,6 +127,9 @@
     listed_at_s: float = 0
     unlisted_at_s: float = 0
     is_replaced: bool = False
+    is_replacement_known: bool = False
+    refuses_overload: bool = False
+    is_left_out: bool = False
     version: int = 0
     headrooms_key: tuple[int, int] = (-1, -1)
     headrooms: tuple[ExpectedHeadroom, ...] = ()
@@ -203,12 +209,14 @@
 
     @property
     def is_listing_awaited(self) -> bool:
-        """Whether the incarnation that answered is about to list itself.
+        """Whether the incarnation that answers has to list itself first.
 
-        One that the list has dropped isn't waited for: it may be cut off from
-        the list, and its capacity and its rack are those of its machine.
+        One that the list has dropped may be cut off from it, so it isn't waited
+        for where it refuses what its own capacity doesn't hold.
         """
-        return self.is_listed and not self.is_listing_current
+        if self.is_listing_current:
+            return False
+        return self.is_listed or not self.refuses_overload
 
     @property
     def is_present(self) -> bool:
@@ -357,13 +365,13 @@
         return worker.listing.data_centre in self.evacuated
 
     def reserve(self, run: Run) -> None:
-        """Reserve the resources of a run on its worker, if that is listed."""
+        """Reserve the resources of a run on its worker, if that is tracked."""
         worker = self.workers.get(run.worker_id)
         if worker is not None:
             worker.add(run)
 
     def release(self, run: Run) -> None:
-        """Release the resources of a run on its worker, if that is listed."""
+        """Release the resources of a run on its worker, if that is tracked."""
         worker = self.workers.get(run.worker_id)
         if worker is not None:
             worker.remove(run)
--- a/tests/cells/worker_list_mutants.py
+++ b/tests/cells/worker_list_mutants.py
@@ -61,7 +61,7 @@
         Worker, 'certain_labels', property(_listed_labels)
     ),
     'a worker of unknown capacity refuses what is too much': lambda: patch(
-        f'{Cell.__module__}.may_be_replaced', _always
+        f'{Cell.__module__}.may_use_replacement', _always
     ),
     'a listing that can not be read names no worker': lambda: patch.object(
         WorkerRegistry, '_mark_unreadable', _do_nothing
