Read on while parts of the store's answer arrive

A page holds up to a megabyte, and the timeout was one for the whole of it: a slow link or a busy process can never finish one, and begins again each time.

Change: a timeout of a read begins anew with each part that arrives, up to 10 s in all. An answer that stops arriving ends as before.

--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -14,6 +14,7 @@
 import errno
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from urllib.parse import urlsplit
 
 import trio
@@ -111,12 +112,16 @@
 
 @dataclass(slots=True)
 class _Exchange:
-    """A request, and whether any part of it may have been sent."""
+    """A request, and whether any part of it may have been sent.
+
+    ``on_chunk`` is called for each part of the response.
+    """
 
     address: Address
     message: bytes
     choice: ConnectionChoice
     may_be_sent: bool = False
+    on_chunk: Callable[[], None] | None = None
 
 
 @dataclass(slots=True)
@@ -137,10 +142,13 @@
         timeout_s: float,
         is_repeatable: bool = False,
         choice: ConnectionChoice = None,
+        longest_s: float | None = None,
     ) -> ClientResponse:
         """Send a request and return the complete response.
 
-        The ``choice`` limits the connections that may be used.
+        The ``choice`` limits the connections that may be used. With
+        ``longest_s``, the timeout begins anew with each part of the response
+        that arrives, and the whole takes that long at most.
 
         If a reused connection ends before the first byte of a response, a
         request that ``is_repeatable`` is sent once more on a new one. The
@@ -164,7 +172,10 @@
             body,
         )
         exchange = _Exchange(address, message, choice)
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(timeout_s) as scope:
+            if longest_s is not None:
+                latest_s = trio.current_time() + longest_s
+                exchange.on_chunk = partial(_extend, scope, timeout_s, latest_s)
             try:
                 return await self._attempt(exchange)
             except StaleConnection:
@@ -194,7 +205,9 @@
         exchange.may_be_sent = True
         try:
             await connection.stream.send_all(exchange.message)
-            response = await connection.reader.read(connection.stream)
+            response = await connection.reader.read(
+                connection.stream, exchange.on_chunk
+            )
         except (OSError, trio.BrokenResourceError, ResponseError) as error:
             await trio.aclose_forcefully(connection.stream)
             raise _make_failure(connection, error) from error
@@ -278,6 +291,11 @@
             await trio.aclose_forcefully(connection.stream)
 
 
+def _extend(scope: trio.CancelScope, timeout_s: float, latest_s: float) -> None:
+    """Begin the timeout of a call anew, up to the latest end of it."""
+    scope.deadline = min(trio.current_time() + timeout_s, latest_s)
+
+
 async def _close_all(idle: list[_Connection]) -> None:
     while idle:
         # Removed first, since another request may take one meanwhile.
--- a/src/marjoramwharf/links/http_responses.py
+++ b/src/marjoramwharf/links/http_responses.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import httptools
@@ -122,11 +122,16 @@
     has_begun: bool = False
     is_reusable: bool = False
 
-    async def read(self, stream: trio.abc.ReceiveStream) -> ClientResponse:
+    async def read(
+        self,
+        stream: trio.abc.ReceiveStream,
+        on_chunk: Callable[[], None] | None = None,
+    ) -> ClientResponse:
         """Read one response to its end.
 
-        Informational responses are skipped. Raises ``ResponseError`` if the
-        response is malformed, larger than 32 MB or cut off.
+        Informational responses are skipped. ``on_chunk`` is called for each part
+        that arrives. Raises ``ResponseError`` if the response is malformed,
+        larger than 32 MB or cut off.
         """
         self.has_begun = False
         self.is_reusable = False
@@ -137,6 +142,8 @@
                 message.end_connection()
                 break
             self.has_begun = True
+            if on_chunk is not None:
+                on_chunk()
             message.feed(chunk)
         self.is_reusable = message.is_kept_alive and not message.has_excess
         return ClientResponse(
--- a/src/marjoramwharf/platform/kv_store.py
+++ b/src/marjoramwharf/platform/kv_store.py
@@ -57,6 +57,10 @@
 # Time that a watch call may take beyond the wait that it asks for.
 _WAIT_SLACK_S = 1.0
 
+# A page of a megabyte takes a slow link and a busy process a while. It is read
+# as long as parts of it arrive.
+_LONGEST_READ_S = 10.0
+
 _Model = TypeVar('_Model')
 
 
@@ -244,6 +248,7 @@
                 self._base + path,
                 timeout_s=max(self._timeout_s, wait_s),
                 is_repeatable=True,
+                longest_s=_LONGEST_READ_S,
             )
         except CallFailed as failure:
             raise StoreUnavailable(message=str(failure)) from failure
