--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -19,6 +19,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -32,6 +33,7 @@
 GANG_MS = 3_000
 CANCEL_MS = 3_000
 CHECKPOINT_S = 0.5
+LIMIT_S = 117.0
 LOSE = object()  # the call gets no answer
 
 SETTINGS = """Node={name}
@@ -767,11 +769,14 @@
             if kind == 'run-start' and f['task'].startswith(job)
         ]
 
+    def close_processes(self):
+        for entry in self.entries:
+            entry.kill()
+
     def close(self):
         for task in self.tasks:
             task.cancel()
-        for entry in self.entries:
-            entry.kill()
+        self.close_processes()
         keep = os.environ.get('KEEP_LOGS')
         if keep:
             for entry in self.entries:
@@ -790,8 +795,19 @@
         print('target/deps is missing: run the build of the deploy file first')
         sys.exit(2)
 
+    case = Case(folder, **options)
+
+    def give_up(*_):
+        """End all processes of the case; the verdict is left open."""
+        case.close_processes()
+        os._exit(2)
+
+    watchdog = threading.Timer(LIMIT_S, give_up)
+    watchdog.daemon = True
+    watchdog.start()
+    signal.signal(signal.SIGTERM, give_up)
+
     async def run():
-        case = Case(folder, **options)
         try:
             await case.start()
             broken = await play(case)
@@ -807,8 +823,8 @@
             case.close()
 
     try:
-        code = asyncio.run(asyncio.wait_for(run(), 115))
-    except (asyncio.TimeoutError, OSError) as failure:
+        code = asyncio.run(run())
+    except OSError as failure:
         print(f'not run: {failure!r}')
         code = 2
     print({0: 'held', 1: 'broken', 2: 'could not run'}[code])
