--- a/tests/cells/test_intake.py
+++ b/tests/cells/test_intake.py
@@ -2,103 +2,41 @@
 
 from __future__ import annotations
 
-import json
 import unittest
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
-from typing import Any
 from unittest.mock import patch
 
 import trio
 
 from marjoramwharf.cells.cell import Cell
-from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.job_status import PublicJobState, StatusAnswer
-from marjoramwharf.cells.owner_link import OwnerLink
-from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.records import (
-    CellId,
     ProgressRecord,
     encode,
     progress_key,
     request_key,
 )
-from marjoramwharf.ids import DataCentreId, EntryId, Incarnation, JobId
-from marjoramwharf.links.http_server import HttpRequest, HttpResponse
-from marjoramwharf.links.peer_messages import PeerIdentity
+from marjoramwharf.ids import JobId
 from marjoramwharf.links.store import Write
-from marjoramwharf.platform.job_api import JobApi
 from marjoramwharf.scheduling.job_state import JobPhase
-from standins.polling_store import PollingMemoryStore
 from tests.cells.cluster import (
     CELL,
-    Cluster,
     job_request,
     open_cluster,
     run_with_clock,
 )
-
-_ID = JobId('5c0e7a21d94b36f8')
-_PATH = f'/recipes/{_ID}'
-_BODY = b'{"TaskSpec":"t","Steps":[{"Count":1,"Cpu":500}]}'
-
-
-@dataclass
-class _Entry:
-    store: PollingMemoryStore
-    front: JobApi
-    intake: Intake
-
-    async def ask(
-        self,
-        method: str,
-        path: str = _PATH,
-        *,
-        body: bytes = b'',
-        host: str = 'a.example',
-    ) -> HttpResponse:
-        """Send one request to the front."""
-        return await self.front.handle(
-            HttpRequest(
-                method=method,
-                target=path,
-                headers={
-                    'host': host,
-                    'x-marjoramwharf-deadline-ms': '3000',
-                },
-                body=body,
-                arrived_s=trio.current_time(),
-            ),
-        )
-
-
-@asynccontextmanager
-async def _open_entry(*, configured: bool = True) -> AsyncIterator[_Entry]:
-    store = PollingMemoryStore()
-    identity = PeerIdentity(
-        EntryId('e1'),
-        Incarnation('1'),
-        DataCentreId('ruse'),
-    )
-    link = OwnerLink(OwnerView(), CellId(0), identity, 0.3)
-    intake = Intake(store, CELL, link, lambda: None)
-    await trio.lowlevel.checkpoint()
-    yield _Entry(
-        store,
-        JobApi(intake, lambda: Cluster.configuration if configured else None),
-        intake,
-    )
+from tests.cells.fronts import (
+    JOB_BODY,
+    JOB_ID,
+    JOB_PATH,
+    decode_body,
+    open_front,
+)
 
 
 def _is_never_reachable() -> bool:
     return False
 
 
-def _decode_body(reply: HttpResponse) -> Any:
-    return json.loads(reply.body)
-
-
 class _FormerCell(Cell):
     """The cell of an owner whose own lease has lapsed."""
 
@@ -160,137 +98,138 @@
 
     async def _outdated_owner(self) -> None:
         """The owner's state doesn't count, also if the store can't be read."""
-        async with _open_entry() as entry:
-            await entry.ask('POST', body=_BODY)
-            entry.intake.local_cell = _FormerCell
-            progress = Write(
-                progress_key(CELL, _ID), encode(ProgressRecord(JobPhase.DONE))
-            )
-            await entry.store.commit([], [progress])
-            state = _decode_body(await entry.ask('GET'))
-            self.assertEqual({'State': 'completed'}, state)
-            entry.store.is_down = True
-            self.assertEqual(503, (await entry.ask('GET')).status)
+        entry = open_front()
+        await entry.ask('POST', body=JOB_BODY)
+        entry.intake.local_cell = _FormerCell
+        progress = Write(
+            progress_key(CELL, JOB_ID), encode(ProgressRecord(JobPhase.DONE))
+        )
+        await entry.store.commit([], [progress])
+        state = decode_body(await entry.ask('GET'))
+        self.assertEqual({'State': 'completed'}, state)
+        entry.store.is_down = True
+        self.assertEqual(503, (await entry.ask('GET')).status)
 
     async def _job_unknown_to_owner(self) -> None:
         """Only a job that is open and wasn't just accepted is counted, once."""
-        async with _open_entry() as entry:
-            counters = entry.intake.counters
-            cancelled = _PATH.replace('f8', 'f9')
-            for path in (_PATH, cancelled):
-                await entry.ask('POST', path, body=_BODY)
-            await entry.ask('DELETE', cancelled)
-            self.enterContext(
-                patch.object(_FormerCell, 'answer_status', return_value=None)
-            )
-            entry.intake.local_cell = _FormerCell
-            for passed_s, count in ((0, 0), (4, 1), (4, 1)):
-                await trio.sleep(passed_s)
-                await entry.ask('GET', cancelled)
-                state = _decode_body(await entry.ask('GET'))
-                self.assertEqual({'State': 'queued'}, state)
-                self.assertEqual(count, counters.jobs_unknown_to_owner_count)
-            # A damaged request changes no answer.
-            damaged = Write(request_key(CELL, _ID), b'?')
-            await entry.store.commit([], [damaged])
-            self.assertEqual(200, (await entry.ask('GET')).status)
+        entry = open_front()
+        counters = entry.intake.counters
+        cancelled = JOB_PATH.replace('f8', 'f9')
+        for path in (JOB_PATH, cancelled):
+            await entry.ask('POST', path, body=JOB_BODY)
+        await entry.ask('DELETE', cancelled)
+        self.enterContext(
+            patch.object(_FormerCell, 'answer_status', return_value=None)
+        )
+        entry.intake.local_cell = _FormerCell
+        for passed_s, count in ((0, 0), (4, 1), (4, 1)):
+            await trio.sleep(passed_s)
+            await entry.ask('GET', cancelled)
+            state = decode_body(await entry.ask('GET'))
+            self.assertEqual({'State': 'queued'}, state)
+            self.assertEqual(count, counters.jobs_unknown_to_owner_count)
+        # A damaged request changes no answer.
+        damaged = Write(request_key(CELL, JOB_ID), b'?')
+        await entry.store.commit([], [damaged])
+        self.assertEqual(200, (await entry.ask('GET')).status)
 
     async def _paths(self) -> None:
-        async with _open_entry() as entry:
-            for path in ('/other/1', '/recipes/short', f'{_PATH}0'):
-                reply = await entry.ask('POST', path, body=_BODY)
-                self.assertEqual(404, reply.status, path)
-            reply = await entry.ask('POST', host='b.example', body=_BODY)
-            self.assertEqual(404, reply.status)
-            self.assertEqual(400, (await entry.ask('POST')).status)
-            self.assertEqual(405, (await entry.ask('PUT')).status)
-            self.assertEqual(410, (await entry.ask('GET')).status)
-            self.assertEqual(410, (await entry.ask('DELETE')).status)
-        async with _open_entry(configured=False) as entry:
-            self.assertEqual(503, (await entry.ask('GET')).status)
+        entry = open_front()
+        for path in ('/other/1', '/recipes/short', f'{JOB_PATH}0'):
+            reply = await entry.ask('POST', path, body=JOB_BODY)
+            self.assertEqual(404, reply.status, path)
+        reply = await entry.ask('POST', host='b.example', body=JOB_BODY)
+        self.assertEqual(404, reply.status)
+        self.assertEqual(400, (await entry.ask('POST')).status)
+        self.assertEqual(405, (await entry.ask('PUT')).status)
+        self.assertEqual(410, (await entry.ask('GET')).status)
+        self.assertEqual(410, (await entry.ask('DELETE')).status)
+        entry.configuration = None
+        self.assertEqual(503, (await entry.ask('GET')).status)
 
     async def _accept_is_stored(self) -> None:
-        async with _open_entry() as entry:
-            for _ in range(2):
-                reply = await entry.ask('POST', body=_BODY)
-                self.assertEqual(200, reply.status)
-            keys = list(entry.store.state.stored)
-            self.assertEqual([request_key(CELL, _ID)], keys)
-            state = await entry.ask('GET')
-            self.assertEqual({'State': 'queued'}, _decode_body(state))
+        entry = open_front()
+        for _ in range(2):
+            reply = await entry.ask('POST', body=JOB_BODY)
+            self.assertEqual(200, reply.status)
+        keys = list(entry.store.state.stored)
+        self.assertEqual([request_key(CELL, JOB_ID)], keys)
+        state = await entry.ask('GET')
+        self.assertEqual({'State': 'queued'}, decode_body(state))
 
     async def _refused_while_down(self) -> None:
-        async with _open_entry() as entry:
-            entry.store.is_down = True
-            began_s = trio.current_time()
-            reply = await entry.ask('POST', body=_BODY)
-            self.assertEqual(503, reply.status)
-            self.assertIn('Retry-After', dict(reply.headers))
-            self.assertLess(trio.current_time() - began_s, 0.1)
-            self.assertFalse(entry.store.state.stored)
+        entry = open_front()
+        entry.store.is_down = True
+        began_s = trio.current_time()
+        reply = await entry.ask('POST', body=JOB_BODY)
+        self.assertEqual(503, reply.status)
+        self.assertIn('Retry-After', dict(reply.headers))
+        self.assertLess(trio.current_time() - began_s, 0.1)
+        self.assertFalse(entry.store.state.stored)
 
     async def _lost_answer(self) -> None:
-        async with _open_entry() as entry:
-            entry.store.answers_to_lose = 1
-            reply = await entry.ask('POST', body=_BODY)
-            self.assertEqual(200, reply.status)
+        entry = open_front()
+        entry.store.answers_to_lose = 1
+        reply = await entry.ask('POST', body=JOB_BODY)
+        self.assertEqual(200, reply.status)
 
     async def _unanswered_submission(self) -> None:
-        async with _open_entry() as entry:
-            entry.store.commits_to_delay = 1_000
-            reply = await entry.ask('POST', body=_BODY)
-            self.assertEqual(504, reply.status)
+        entry = open_front()
+        entry.store.commits_to_delay = 1_000
+        reply = await entry.ask('POST', body=JOB_BODY)
+        self.assertEqual(504, reply.status)
 
     async def _store_out_of_reach(self) -> None:
-        async with _open_entry() as entry:
-            entry.intake.is_store_reachable = _is_never_reachable
-            before = entry.store.commits_count
-            began_s = trio.current_time()
-            reply = await entry.ask('POST', body=_BODY)
-            self.assertEqual(503, reply.status)
-            self.assertIn('Retry-After', dict(reply.headers))
-            # A job that may have been stored is given up as unknown.
-            self.assertEqual(before, entry.store.commits_count)
-            answers = iter((True, False))
-            entry.intake.is_store_reachable = lambda: next(answers)
-            entry.store.commits_to_delay = 1_000
-            reply = await entry.ask('POST', body=_BODY)
-            self.assertEqual(504, reply.status)
-            self.assertLess(trio.current_time() - began_s, 0.2)
+        entry = open_front()
+        entry.intake.is_store_reachable = _is_never_reachable
+        before = entry.store.commits_count
+        began_s = trio.current_time()
+        reply = await entry.ask('POST', body=JOB_BODY)
+        self.assertEqual(503, reply.status)
+        self.assertIn('Retry-After', dict(reply.headers))
+        # A job that may have been stored is given up as unknown.
+        self.assertEqual(before, entry.store.commits_count)
+        answers = iter((True, False))
+        entry.intake.is_store_reachable = lambda: next(answers)
+        entry.store.commits_to_delay = 1_000
+        reply = await entry.ask('POST', body=JOB_BODY)
+        self.assertEqual(504, reply.status)
+        self.assertLess(trio.current_time() - began_s, 0.2)
 
     async def _repeat_while_store_is_away(self) -> None:
-        async with _open_entry() as entry, open_cluster() as (cluster, nursery):
+        entry = open_front()
+        async with open_cluster() as (cluster, nursery):
             candidate = cluster.spawn(nursery, 'e1')
-            request = job_request(_ID)
+            request = job_request(JOB_ID)
             await cluster.submit(request)
             await cluster.wait_until(lambda: cluster.state(request) is not None)
             entry.intake.local_cell = lambda: candidate.cell
             entry.intake.is_store_reachable = _is_never_reachable
-            reply = await entry.ask('POST', body=_BODY)
+            reply = await entry.ask('POST', body=JOB_BODY)
             self.assertEqual(200, reply.status)
 
     async def _state_without_owner(self) -> None:
-        async with _open_entry() as entry:
-            await entry.ask('POST', body=_BODY)
-            shown = {
-                JobPhase.OPEN: 'running',
-                JobPhase.DONE: 'completed',
-                JobPhase.FAILED: 'failed',
-                JobPhase.CANCELLED: 'cancelled',
-            }
-            for phase, name in shown.items():
-                record = encode(ProgressRecord(phase, has_begun=True))
-                key = progress_key(CELL, _ID)
-                await entry.store.commit([], [Write(key, record)])
-                state = await entry.ask('GET')
-                self.assertEqual({'State': name}, _decode_body(state))
-            self.assertEqual(503, (await entry.ask('GET', '/recipes/')).status)
+        entry = open_front()
+        await entry.ask('POST', body=JOB_BODY)
+        shown = {
+            JobPhase.OPEN: 'running',
+            JobPhase.DONE: 'completed',
+            JobPhase.FAILED: 'failed',
+            JobPhase.CANCELLED: 'cancelled',
+        }
+        for phase, name in shown.items():
+            record = encode(ProgressRecord(phase, has_begun=True))
+            key = progress_key(CELL, JOB_ID)
+            await entry.store.commit([], [Write(key, record)])
+            state = await entry.ask('GET')
+            self.assertEqual({'State': name}, decode_body(state))
+        self.assertEqual(503, (await entry.ask('GET', '/recipes/')).status)
 
     async def _cancel(self) -> None:
-        async with _open_entry() as entry:
-            await entry.ask('POST', body=_BODY)
-            entry.store.answers_to_lose = 1
-            self.assertEqual(200, (await entry.ask('DELETE')).status)
-            state = await entry.ask('GET')
-            self.assertEqual({'State': 'cancelled'}, _decode_body(state))
-            self.assertEqual(200, (await entry.ask('DELETE')).status)
+        entry = open_front()
+        await entry.ask('POST', body=JOB_BODY)
+        entry.store.answers_to_lose = 1
+        self.assertEqual(200, (await entry.ask('DELETE')).status)
+        state = await entry.ask('GET')
+        self.assertEqual({'State': 'cancelled'}, decode_body(state))
+        self.assertEqual(200, (await entry.ask('DELETE')).status)
