Bar the id of a job that is cancelled before it is stored

Cause: the 410 was drawn from the absence of the request and left no trace, and the write of a submission asked only for that absence. So an entry that repeats an unanswered write could still store the job, and so could the first write, which the store may carry out seconds later with no entry taking part.

Change: a cancel of an unknown id is stored before its 410, on the condition that there is no request; a request is stored on the condition that there is no cancel. The store takes one of the two, whichever comes first, so it matters neither where the cancel was handed in nor whether an entry or the owner ends in between. A barred submission gets 429, "not run", which holds: no write of it was applied, and none can be. Ruled out: a key with a lease, since keys of leases may be gone early while the store is down; and only stopping the entry's repeats, since the late first write stores the job as well (test_late_write).

Intake's writes move to modules of their own (job_submitter, job_canceller).

--- a/src/marjoramwharf/cells/inbox.py
+++ b/src/marjoramwharf/cells/inbox.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from marjoramwharf.cells.cancellations import Cancellations
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.records import (
     CellId,
@@ -47,8 +48,8 @@
     job_table: JobTable
     on_cancelled: Callable[[Job], None]
     on_change: Callable[[], None]
-    # Also holds jobs whose request hasn't been read yet.
-    _cancelled: set[JobId] = field(default_factory=set)
+    # Also holds ids without a job, and jobs whose request isn't read yet.
+    cancellations: Cancellations = field(default_factory=Cancellations)
     _damaged: set[JobId] = field(default_factory=set)
     # Revisions at which jobs were removed, until a batch is later than that.
     _removed: dict[JobId, int] = field(default_factory=dict)
@@ -71,10 +72,11 @@
                     job = restore_job(
                         request, record, revision=revision, now_s=now_s
                     )
+                    job.request_revision = stored.mod_revision
                     self.job_table.add_restored(job, now_s=now_s, now_ms=now_ms)
         self.job_table.create_due_occurrences(now_s=now_s, now_ms=now_ms)
         for stored in found:
-            self._apply_cancellation(stored.key)
+            self._apply_cancellation(stored)
 
     async def apply(self, batch: WatchBatch) -> None:
         """Apply watch events: new requests and cancellations."""
@@ -83,7 +85,7 @@
         for event in batch.events:
             if event.stored is not None and not self._is_removed(event.stored):
                 self._add_job(event.stored, now_s, now_ms)
-                self._apply_cancellation(event.key)
+                self._apply_cancellation(event.stored)
         self._removed = {
             job_id: revision
             for job_id, revision in self._removed.items()
@@ -97,7 +99,7 @@
         A batch that was read before may still arrive. The job in it would look
         like a new one, and all of it would run again.
         """
-        self._cancelled.discard(job_id)
+        self.cancellations.discard(job_id)
         self._removed[job_id] = removed_at_revision
 
     def _is_removed(self, stored: StoredValue) -> bool:
@@ -111,9 +113,9 @@
         if request is None or request.job_id in self._damaged:
             return
         with self._left_out_on_error(request.job_id):
-            self.job_table.add(request, now_s=now_s, now_ms=now_ms)
-        if request.job_id in self._cancelled:
-            self._cancel_job(request.job_id)
+            job = self.job_table.add(request, now_s=now_s, now_ms=now_ms)
+            job.request_revision = job.request_revision or stored.mod_revision
+        self._cancel_job(request.job_id)
 
     @contextmanager
     def _left_out_on_error(self, job_id: JobId) -> Iterator[None]:
@@ -153,17 +155,24 @@
             _LOG.error('request left out', error=str(failure))
             return None
 
-    def _apply_cancellation(self, key: str) -> None:
+    def _apply_cancellation(self, stored: StoredValue) -> None:
+        """Apply a cancellation; does nothing for a key of another kind."""
         prefix = cancel_key(self.cell, JobId(''))
-        if key.startswith(prefix):
-            job_id = JobId(key.removeprefix(prefix))
-            self._cancelled.add(job_id)
+        if stored.key.startswith(prefix):
+            job_id = JobId(stored.key.removeprefix(prefix))
+            self.cancellations.observe(
+                job_id, stored.mod_revision, now_s=boot_s()
+            )
             self._cancel_job(job_id)
 
     def _cancel_job(self, job_id: JobId) -> None:
+        """Cancel a job if it is open and its cancellation is known."""
         job = self.job_table.jobs.get(job_id)
         if job is None or not job.is_open:
             return
-        _LOG.info('job cancelled', job=job_id)
-        self.job_table.cancel(job_id, now_s=boot_s())
-        self.on_cancelled(job)
+        if self.cancellations.applies(
+            job_id, request_revision=job.request_revision
+        ):
+            _LOG.info('job cancelled', job=job_id)
+            self.job_table.cancel(job_id, now_s=boot_s())
+            self.on_cancelled(job)
--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -10,48 +10,38 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import trio
-
+from marjoramwharf.cells.barred_ids import BarredIds
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.cells.instance_settings import Bounds
+from marjoramwharf.cells.job_canceller import JobCanceller
 from marjoramwharf.cells.job_status import (
     FINAL_STATES,
     PublicJobState,
     StatusAnswer,
 )
+from marjoramwharf.cells.job_submitter import JobSubmitter
 from marjoramwharf.cells.owner_link import CellSource, OwnerLink
 from marjoramwharf.cells.records import (
     CellId,
     ProgressRecord,
     cancel_key,
     decode,
-    encode,
     progress_key,
     request_key,
 )
+from marjoramwharf.cells.retention import retention_s
+from marjoramwharf.cells.store_retries import StoreRetries
 from marjoramwharf.cells.submission_outcome import SubmissionOutcome
 from marjoramwharf.cells.unknown_jobs import UnknownJobs
-from marjoramwharf.errors import (
-    Failure,
-    JournalDamaged,
-    StoreAnswerLost,
-    StoreUnavailable,
-)
+from marjoramwharf.errors import Failure, JournalDamaged
 from marjoramwharf.ids import JobId
-from marjoramwharf.links.store import (
-    Committed,
-    Conflict,
-    Guard,
-    PollingStore,
-    StoredValue,
-    Write,
-)
+from marjoramwharf.links.store import PollingStore, StoredValue
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.job_state import JobPhase
 from marjoramwharf.scheduling.workload import JobRequest
 
 _LOG = part_logger('intake')
-_RETRY_PAUSE_S = 0.05
 
 _FINAL_STATES = {
     JobPhase.DONE: PublicJobState.DONE,
@@ -81,7 +71,8 @@
 
     ``local_cell`` returns the cell if this entry owns it, and ``owner_link``
     asks the owner otherwise. ``is_store_reachable`` tells whether a call to
-    the store is likely to succeed.
+    the store is likely to succeed. ``barred_ids``
+    bounds the cancellations of unknown jobs.
     """
 
     store: PollingStore
@@ -90,11 +81,22 @@
     local_cell: CellSource
     is_store_reachable: Callable[[], bool] = _always
     counters: CellCounters = field(default_factory=CellCounters)
+    barred_ids: BarredIds = field(
+        default_factory=lambda: BarredIds(retention_s(Bounds().status_ms))
+    )
     _unknown_jobs: UnknownJobs = field(init=False)
+    _submitter: JobSubmitter = field(init=False)
+    _canceller: JobCanceller = field(init=False)
 
     def __post_init__(self) -> None:
-        """Share the counters with the record of unknown jobs."""
+        """Create the components for the writes of callers."""
+        # The source may be replaced later.
+        retries = StoreRetries(lambda: self.is_store_reachable())
         self._unknown_jobs = UnknownJobs(self.counters)
+        self._submitter = JobSubmitter(self.store, self.cell, retries)
+        self._canceller = JobCanceller(
+            self.store, self.cell, retries, self.barred_ids
+        )
 
     async def submit(
         self,
@@ -110,7 +112,9 @@
         """
         outcome = await self._check_admission(request)
         if outcome is None:
-            outcome = await self._store_with_retries(request, deadline_s)
+            outcome = await self._submitter.store_request(
+                request, deadline_s=deadline_s
+            )
         self.counters.submissions[outcome] += 1
         return outcome
 
@@ -144,46 +148,6 @@
             _LOG.debug('owner call failed', error=str(failure))
             return True
 
-    async def _store_with_retries(
-        self,
-        request: JobRequest,
-        deadline_s: float,
-    ) -> SubmissionOutcome:
-        """Repeat a write without an answer until the deadline."""
-        maybe_stored = False
-        while True:
-            outcome = await self._store_once(request)
-            maybe_stored = maybe_stored or outcome is SubmissionOutcome.UNKNOWN
-            if outcome is SubmissionOutcome.ACCEPTED or not maybe_stored:
-                return outcome
-            if self._must_give_up(deadline_s):
-                return SubmissionOutcome.UNKNOWN
-            await trio.sleep(_RETRY_PAUSE_S)
-
-    async def _store_once(self, request: JobRequest) -> SubmissionOutcome:
-        """Write the request; one that is stored already is accepted, too."""
-        key = request_key(self.cell, request.job_id)
-        write = Write(key, encode(request))
-        try:
-            outcome = await self.store.commit([Guard(key, 0)], [write])
-        except StoreUnavailable as refusal:
-            _LOG.info(
-                'submission refused',
-                job=request.job_id,
-                error=str(refusal),
-            )
-            return SubmissionOutcome.REFUSED
-        except Failure as failure:
-            # No other failure proves that nothing was applied.
-            _LOG.info(
-                'submission outcome unknown',
-                job=request.job_id,
-                error=str(failure),
-            )
-            return SubmissionOutcome.UNKNOWN
-        self._log_accepted(request, outcome)
-        return SubmissionOutcome.ACCEPTED
-
     async def status(self, job_id: JobId) -> PublicJobState | None:
         """Return the state of a job, ``None`` if no such job is stored.
 
@@ -202,39 +166,9 @@
     async def cancel(self, job_id: JobId, *, deadline_s: float) -> bool:
         """Store the cancellation of a job; return whether the job exists.
 
-        When the deadline has passed or the store can't be reached, raises
-        ``StoreUnavailable`` if certainly nothing was stored, and
-        ``StoreAnswerLost`` if any of the attempts may have been.
+        Raises what ``JobCanceller.cancel`` raises.
         """
-        told: Failure | None = None
-        while True:
-            try:
-                return await self._cancel_once(job_id)
-            except (StoreUnavailable, StoreAnswerLost) as failure:
-                # A later refusal says nothing about an unanswered attempt.
-                if not isinstance(told, StoreAnswerLost):
-                    told = failure
-                if self._must_give_up(deadline_s):
-                    raise told
-            await trio.sleep(_RETRY_PAUSE_S)
-
-    async def _cancel_once(self, job_id: JobId) -> bool:
-        """Write the cancellation; return whether the store has one."""
-        revision = await self._read_request_revision(job_id)
-        if revision is None:
-            return False
-        cancel = cancel_key(self.cell, job_id)
-        outcome = await self.store.commit(
-            [
-                Guard(request_key(self.cell, job_id), revision),
-                Guard(cancel, 0),
-            ],
-            [Write(cancel, b'1')],
-        )
-        if isinstance(outcome, Committed):
-            _LOG.info('cancel stored', job=job_id, revision=outcome.revision)
-            return True
-        return any(stored.key == cancel for stored in outcome.found)
+        return await self._canceller.cancel(job_id, deadline_s=deadline_s)
 
     async def waiting_count(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue that have not begun.
@@ -248,17 +182,6 @@
                 return count
         return await self.owner_link.waiting_count(queue)
 
-    def _must_give_up(self, deadline_s: float) -> bool:
-        """Whether another attempt would be too late or in vain."""
-        is_late = trio.current_time() + _RETRY_PAUSE_S >= deadline_s
-        return is_late or not self.is_store_reachable()
-
-    def _log_accepted(
-        self, request: JobRequest, outcome: Committed | Conflict
-    ) -> None:
-        is_new = isinstance(outcome, Committed)
-        _LOG.info('job accepted', job=request.job_id, is_new=is_new)
-
     async def _ask_owner(self, job_id: JobId) -> _OwnerReply:
         cell = self.local_cell()
         if cell is not None and cell.is_loaded:
@@ -293,10 +216,6 @@
             return
         self._unknown_jobs.record(request, now_s=boot_s(), now_ms=wall_ms())
 
-    async def _read_request_revision(self, job_id: JobId) -> int | None:
-        stored = await self.store.read(request_key(self.cell, job_id))
-        return None if stored is None else stored.mod_revision
-
 
 def _reply_of(answer: StatusAnswer | None) -> _OwnerReply:
     return _OwnerReply(answer, is_unknown=answer is None)
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -11,10 +11,14 @@
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.decision_log import log_lapsed
 from marjoramwharf.cells.inbox import Inbox
-from marjoramwharf.cells.job_cleanup import remove_finished_jobs
+from marjoramwharf.cells.job_cleanup import (
+    remove_expired_cancellations,
+    remove_finished_jobs,
+)
 from marjoramwharf.cells.lapsing_workers import LapsingWorkers
 from marjoramwharf.cells.owner_lag import OwnerLag
 from marjoramwharf.cells.owner_reach import OwnerReach
+from marjoramwharf.cells.retention import retention_s
 from marjoramwharf.cells.run_mover import RunMover
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.ids import WorkerId
@@ -91,13 +95,26 @@
             if job.occurrences:
                 self.stop_surplus_runs(job)
         self.worker_registry.remove_gone_workers(now_s=now_s)
+        await self._remove_expired()
+
+    async def _remove_expired(self) -> None:
+        """Remove what has been in the store for long enough."""
+        min_age_s = retention_s(self.context.bounds.status_ms)
         await remove_finished_jobs(
             self.context.store,
             self.ownership.cell,
             self.ownership.guard,
             self.job_table,
             self.inbox,
-            retention_ms=self.context.bounds.status_ms,
+            min_age_s=min_age_s,
+        )
+        await remove_expired_cancellations(
+            self.context.store,
+            self.ownership.cell,
+            self.ownership.guard,
+            self.job_table,
+            self.inbox.cancellations,
+            min_age_s=min_age_s,
         )
 
     def _mark_lost_workers(self, now_s: float) -> None:
--- a/src/marjoramwharf/errors.py
+++ b/src/marjoramwharf/errors.py
@@ -33,6 +33,7 @@
     STORE_ANSWER_LOST = 'store_answer_lost'
     STORE_BUDGET = 'store_budget'
     STORE_REFUSED = 'store_refused'
+    BARRED_IDS_LIMIT = 'barred_ids_limit'
     HISTORY_LOST = 'history_lost'
     LEASE_ENDED = 'lease_ended'
     ADVICE_UNAVAILABLE = 'advice_unavailable'
@@ -99,6 +100,15 @@
     reason = Reason.STORE_REFUSED
 
 
+class TooManyBarredIds(Failure):
+    """An entry has stored the cancellations of too many unknown jobs lately.
+
+    Nothing was stored; ``retry_after_s`` tells when the next one may be.
+    """
+
+    reason = Reason.BARRED_IDS_LIMIT
+
+
 class StoreAnswerLost(Failure):
     """The answer to a write was lost; the write may have been applied.
 
--- a/src/marjoramwharf/platform/job_api.py
+++ b/src/marjoramwharf/platform/job_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from math import ceil
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,7 +12,12 @@
 from marjoramwharf.cells.clocks import wall_ms
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.submission_outcome import SubmissionOutcome
-from marjoramwharf.errors import BadJob, Failure, StoreUnavailable
+from marjoramwharf.errors import (
+    BadJob,
+    Failure,
+    StoreUnavailable,
+    TooManyBarredIds,
+)
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.http_server import HttpRequest, HttpResponse
 from marjoramwharf.logs import part_logger
@@ -31,6 +37,7 @@
 _CANCELLED = HttpResponse(200, b'{}')
 _NO_QUEUE = HttpResponse(404, b'{"Error":"no such queue"}')
 _NO_JOB = HttpResponse(410, b'{"Error":"no such job"}')
+_MALFORMED = HttpResponse(400, b'{"Error":"malformed job"}')
 _BAD_METHOD = HttpResponse(405, b'{"Error":"method not allowed"}')
 _OUTCOME_UNKNOWN = HttpResponse(504, b'{"Error":"outcome unknown"}')
 # Also the answer to a cancellation that was certainly not stored.
@@ -102,15 +109,8 @@
                 return await self._answer_status(job_id)
             if request.method == 'DELETE':
                 return await self._cancel(job_id, deadline_s)
-        except BadJob as bad:
-            _LOG.info('malformed job refused', job=job_id, error=str(bad))
-            return HttpResponse(400, b'{"Error":"malformed job"}')
-        except StoreUnavailable as refusal:
-            _log_failed(request, job_id, refusal)
-            return _STATE_UNAVAILABLE
         except Failure as failure:
-            _log_failed(request, job_id, failure)
-            return _OUTCOME_UNKNOWN
+            return _answer_failure(request, job_id, failure)
         return _BAD_METHOD
 
     async def _submit(
@@ -127,6 +127,11 @@
             now_ms=wall_ms(),
         )
         outcome = await self.intake.submit(job, deadline_s=deadline_s)
+        if outcome is SubmissionOutcome.CANCELLED:
+            return _too_many(
+                'cancelled before it was accepted, and not run',
+                retry_after_s=self.intake.barred_ids.kept_s,
+            )
         return _SUBMISSION_REPLIES[outcome]
 
     async def _answer_status(self, job_id: JobId) -> HttpResponse:
@@ -158,13 +163,34 @@
         return HttpResponse(200, job_bodies.encode_waiting_count(count))
 
 
-def _log_failed(request: HttpRequest, job_id: JobId, failure: Failure) -> None:
+def _too_many(error: str, *, retry_after_s: float) -> HttpResponse:
+    """Return a refusal that tells when another attempt may succeed."""
+    return HttpResponse(
+        429,
+        job_bodies.encode_error(error),
+        (('Retry-After', str(ceil(retry_after_s))),),
+    )
+
+
+def _answer_failure(
+    request: HttpRequest, job_id: JobId, failure: Failure
+) -> HttpResponse:
+    """Return the answer that says what is certain after a failure."""
     _LOG.info(
         'request for a job failed',
         job=job_id,
         method=request.method,
         error=str(failure),
     )
+    if isinstance(failure, BadJob):
+        return _MALFORMED
+    if isinstance(failure, TooManyBarredIds):
+        return _too_many(
+            failure.message, retry_after_s=failure.retry_after_s or 0
+        )
+    if isinstance(failure, StoreUnavailable):
+        return _STATE_UNAVAILABLE
+    return _OUTCOME_UNKNOWN
 
 
 def _deadline_s(request: HttpRequest, queue: QueuePolicy) -> float:
--- a/src/marjoramwharf/platform/job_bodies.py
+++ b/src/marjoramwharf/platform/job_bodies.py
@@ -4,7 +4,7 @@
 
 from typing import Annotated
 
-from msgspec import DecodeError, Meta, Struct
+from msgspec import DecodeError, Meta, Struct, json
 
 from marjoramwharf.cells.job_status import PublicJobState
 from marjoramwharf.errors import BadJob
@@ -118,6 +118,11 @@
     return _STATE_BODIES[state]
 
 
+def encode_error(text: str) -> bytes:
+    """Return the body of a refusal, with a text for people."""
+    return json.encode({'Error': text})
+
+
 def encode_waiting_count(count: int) -> bytes:
     """Return the body of an answer with the number of jobs not yet begun."""
     return b'{"Waiting":%d}' % count
--- a/src/marjoramwharf/programs/_cell_metrics.py
+++ b/src/marjoramwharf/programs/_cell_metrics.py
@@ -129,6 +129,9 @@
             },
             'ready_tasks': {'': len(cell.job_table.ready)},
             'unstored_jobs': {'': len(cell.job_table.unstored)},
+            'known_cancellations': {
+                '': len(cell.maintenance.inbox.cancellations),
+            },
             'workers': {
                 'reachable': sum(worker.is_reachable for worker in workers),
                 'unreachable': sum(
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from marjoramwharf.cells.barred_ids import BarredIds
 from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.clocks import boot_s
@@ -29,6 +30,7 @@
     EntryRecord,
     incarnation_of,
 )
+from marjoramwharf.cells.retention import retention_s
 from marjoramwharf.cells.tenure_end import (
     TENURE_END_METHOD,
     answer_tenure_end,
@@ -184,6 +186,7 @@
             self.owned_cell,
             lambda: self.store.is_reachable,
             self.counters,
+            BarredIds(retention_s(settings.bounds.status_ms)),
         )
         handler = JobApi(intake, lambda: self.operators.config.current)
         self.api_server = HttpServer(handler.handle)
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -245,6 +245,7 @@
     version: int = 0
     stored_version: int = 0
     stored_revision: int = 0  # of the job's progress record; 0 if it has none
+    request_revision: int = 0  # of the job's request in the store
     is_urgent: bool = False
     has_begun: bool = False
     finished_s: float = 0
--- a/tests/cells/fronts.py
+++ b/tests/cells/fronts.py
@@ -8,16 +8,19 @@
 
 import trio
 
+from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.owner_link import OwnerLink
 from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.ids import DataCentreId, EntryId, Incarnation, JobId
 from marjoramwharf.links.http_server import HttpRequest, HttpResponse
 from marjoramwharf.links.peer_messages import PeerIdentity
+from marjoramwharf.links.store import Committed, Conflict
 from marjoramwharf.platform.job_api import JobApi
 from marjoramwharf.scheduling.policy import Configuration
 from standins.kv_state import KeyValueState
 from standins.polling_store import PollingMemoryStore
+from tests.cells.candidate import Candidate
 from tests.cells.cluster import CELL, Cluster
 
 JOB_ID = JobId('5c0e7a21d94b36f8')
@@ -78,6 +81,23 @@
     return Front(PollingMemoryStore(state))
 
 
+def carry_out_late(store: PollingMemoryStore) -> list[Committed | Conflict]:
+    """Let a store carry out the writes that it holds; return the outcomes."""
+    outcomes = [commit() for commit in store.delayed_commits]
+    store.delayed_commits.clear()
+    return outcomes
+
+
+async def wait_for_owner(cluster: Cluster, candidate: Candidate) -> Cell:
+    """Wait until an entry owns the cell, and return the cell."""
+    await cluster.wait_until(
+        lambda: candidate.cell is not None and candidate.cell.is_loaded
+    )
+    if candidate.cell is None:
+        raise AssertionError('the entry lost the cell at once')
+    return candidate.cell
+
+
 def decode_body(reply: HttpResponse) -> Any:
     """Return the decoded body of an answer."""
     return json.loads(reply.body)
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -47,6 +47,7 @@
 from marjoramwharf.links.store import Guard
 from marjoramwharf.scheduling.fleet import Fleet, Worker
 from marjoramwharf.scheduling.job_state import Run, RunEnd, RunPhase
+from tests.cells.cancellation_mutants import CANCELLATION_MUTANTS
 from tests.cells.former_owner_mutants import FORMER_OWNER_MUTANTS
 from tests.cells.worker_list_mutants import WORKER_LIST_MUTANTS
 
@@ -309,6 +310,7 @@
     'a stop order is repeated until it is answered': lambda: patch.object(
         WorkerOrders, 'stop', _stop_once
     ),
+    **CANCELLATION_MUTANTS,
     **FORMER_OWNER_MUTANTS,
     **WORKER_LIST_MUTANTS,
 }
--- a/tests/cells/test_inbox.py
+++ b/tests/cells/test_inbox.py
@@ -25,18 +25,49 @@
     return _event(request_key(CELL, _JOB_ID), encode(_REQUEST), revision)
 
 
+def _cancel_event(revision: int) -> StoreEvent:
+    return _event(cancel_key(CELL, _JOB_ID), b'1', revision)
+
+
+def _new_inbox(job_table: JobTable) -> Inbox:
+    return Inbox(
+        cell=CELL,
+        job_table=job_table,
+        on_cancelled=lambda _job: None,
+        on_change=lambda: None,
+    )
+
+
+class CancellationTests(unittest.TestCase):
+    """Guards against a cancellation that hits another job, or misses its own."""
+
+    def test_order_of_revisions(self) -> None:
+        """Guards against a job cancelled by what was removed before it.
+
+        The pages of a read aren't of one moment, so both may be read.
+        """
+        for cancel_revision, request_revision in ((7, 5), (7, 9)):
+            events = (
+                _cancel_event(cancel_revision),
+                _request_event(request_revision),
+            )
+            for batch in (events, reversed(events)):
+                job_table = JobTable()
+                inbox = _new_inbox(job_table)
+                trio.run(inbox.apply, WatchBatch(9, tuple(batch)))
+                self.assertIs(
+                    request_revision > cancel_revision,
+                    job_table.jobs[_JOB_ID].is_open,
+                )
+
+
 class RemovedJobTests(unittest.TestCase):
     """Guards against a job that runs again after it has ended and was removed."""
 
     def setUp(self) -> None:
         """Add a job, end it, and remove it at revision 20."""
         self.job_table = JobTable()
-        self.inbox = Inbox(
-            cell=CELL,
-            job_table=self.job_table,
-            on_cancelled=lambda _job: None,
-            on_change=lambda: None,
-        )
+        self.inbox = _new_inbox(self.job_table)
         self._apply(5, _request_event(5))
         self.job_table.cancel(_JOB_ID, now_s=0)
         self.job_table.forget(_JOB_ID)
@@ -50,8 +81,7 @@
 
     def test_late_cancellation(self) -> None:
         """Guards against a cancellation that hits a later job of the id."""
-        late = _event(cancel_key(CELL, _JOB_ID), b'1', 7)
-        self._apply(19, late, restarted=True)
+        self._apply(19, _cancel_event(7), restarted=True)
         self._apply(25, _request_event(25))
         self.assertTrue(self.job_table.jobs[_JOB_ID].is_open)
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -39,6 +39,9 @@
     'test_replaced_workers',
     'test_unlisted_workers',
     'test_unlisted_precautions',
+    'test_inbox',
+    'test_unstored_cancellations',
+    'test_cancellation_removal',
     'test_histories',
 )
 
