--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -71,8 +71,8 @@
 
     ``local_cell`` returns the cell if this entry owns it, and ``owner_link``
     asks the owner otherwise. ``is_store_reachable`` tells whether a call to
-    the store is likely to succeed. ``barred_ids``
-    bounds the cancellations of unknown jobs.
+    the store is likely to succeed. ``barred_ids`` bounds the cancellations of
+    unknown jobs.
     """
 
     store: PollingStore
--- a/src/marjoramwharf/cells/job_cleanup.py
+++ b/src/marjoramwharf/cells/job_cleanup.py
@@ -116,9 +116,9 @@
     batch: Sequence[Cancellation],
     outcome: Committed | Conflict,
 ) -> None:
-    """Forget what was removed; after a conflict, what can't be removed.
+    """Forget what was removed; after a conflict, what is gone or has a job.
 
-    Raises ``NotOwner`` if the owner's record isn't that of this entry.
+    One that has been written again counts as new. Raises ``NotOwner`` if the owner's record isn't that of this entry.
     """
     found: dict[str, StoredValue] = {}
     if isinstance(outcome, Conflict):
