--- a/src/marjoramwharf/cells/job_canceller.py
+++ b/src/marjoramwharf/cells/job_canceller.py
@@ -4,7 +4,7 @@
 submission. So the cancellation of an unknown id is stored, too, before the
 caller learns that there is no such job: from then on no write of a submission
 can store the job. The owner of the cell removes it later, see
-:mod:`cells.job_cleanup`.
+:mod:`cells.cancellation_cleanup`.
 """
 
 from __future__ import annotations
--- a/src/marjoramwharf/cells/job_cleanup.py
+++ b/src/marjoramwharf/cells/job_cleanup.py
@@ -1,13 +1,11 @@
-"""Removal of finished jobs, and of cancellations without a job, from the store."""
+"""Removal of finished jobs from the store."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
-from marjoramwharf.cells.cancellations import Cancellation, Cancellations
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.inbox import Inbox
-from marjoramwharf.cells.owner_guard import found_by_owner
 from marjoramwharf.cells.records import (
     CellId,
     cancel_key,
@@ -15,14 +13,7 @@
     request_key,
 )
 from marjoramwharf.errors import Failure
-from marjoramwharf.links.store import (
-    Committed,
-    Conflict,
-    Guard,
-    PollingStore,
-    StoredValue,
-    Write,
-)
+from marjoramwharf.links.store import Committed, Guard, PollingStore, Write
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.job_state import Job
 from marjoramwharf.scheduling.job_table import JobTable
@@ -33,9 +24,6 @@
 # into one call to the store.
 _JOBS_PER_COMMIT = 10
 
-# So have the key of each cancellation, two conditions on it, and that condition.
-_CANCELLATIONS_PER_COMMIT = 10
-
 
 async def remove_finished_jobs(
     store: PollingStore,
@@ -63,75 +51,6 @@
             inbox.forget(job.job_id, removed_at_revision=revision)
 
 
-async def remove_expired_cancellations(
-    store: PollingStore,
-    cell: CellId,
-    ownership_guard: Guard,
-    job_table: JobTable,
-    cancellations: Cancellations,
-    *,
-    min_age_s: float,
-) -> None:
-    """Remove cancellations without a job that are older than ``min_age_s``.
-
-    The age counts from when this owner learned of them. Stops at the first
-    failed write; the next call tries again.
-    """
-    expired = cancellations.expired(
-        job_table.jobs, now_s=boot_s(), min_age_s=min_age_s
-    )
-    for start in range(0, len(expired), _CANCELLATIONS_PER_COMMIT):
-        batch = expired[start : start + _CANCELLATIONS_PER_COMMIT]
-        try:
-            outcome = await _remove_cancellations(
-                store, cell, ownership_guard, batch
-            )
-        except Failure as failure:
-            _LOG.info('cancellations not removed yet', error=str(failure))
-            return
-        _record_removal(cell, ownership_guard, cancellations, batch, outcome)
-
-
-async def _remove_cancellations(
-    store: PollingStore,
-    cell: CellId,
-    ownership_guard: Guard,
-    batch: Sequence[Cancellation],
-) -> Committed | Conflict:
-    """Delete some cancellations unless one has changed or has a job."""
-    guards = [ownership_guard]
-    writes = []
-    for cancellation in batch:
-        key = cancel_key(cell, cancellation.job_id)
-        guards.append(Guard(key, cancellation.revision))
-        guards.append(Guard(request_key(cell, cancellation.job_id), 0))
-        writes.append(Write(key, None))
-    return await store.commit(guards, writes)
-
-
-def _record_removal(
-    cell: CellId,
-    ownership_guard: Guard,
-    cancellations: Cancellations,
-    batch: Sequence[Cancellation],
-    outcome: Committed | Conflict,
-) -> None:
-    """Forget what was removed; after a conflict, what is gone or has a job.
-
-    One that has been written again counts as new. Raises ``NotOwner`` if the owner's record isn't that of this entry.
-    """
-    found: dict[str, StoredValue] = {}
-    if isinstance(outcome, Conflict):
-        found = found_by_owner(outcome, ownership_guard)
-    for cancellation in batch:
-        job_id = cancellation.job_id
-        cancel = found.get(cancel_key(cell, job_id))
-        if cancel is None or request_key(cell, job_id) in found:
-            cancellations.discard(job_id)
-        else:
-            cancellations.observe(job_id, cancel.mod_revision, now_s=boot_s())
-
-
 def _is_expired(job: Job, min_age_s: float) -> bool:
     is_settled = not job.occurrences and job.stored_version == job.version
     return (
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -7,14 +7,14 @@
 
 import trio
 
+from marjoramwharf.cells.cancellation_cleanup import (
+    remove_expired_cancellations,
+)
 from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.decision_log import log_lapsed
 from marjoramwharf.cells.inbox import Inbox
-from marjoramwharf.cells.job_cleanup import (
-    remove_expired_cancellations,
-    remove_finished_jobs,
-)
+from marjoramwharf.cells.job_cleanup import remove_finished_jobs
 from marjoramwharf.cells.lapsing_workers import LapsingWorkers
 from marjoramwharf.cells.owner_lag import OwnerLag
 from marjoramwharf.cells.owner_reach import OwnerReach
--- a/tests/cells/cancellation_mutants.py
+++ b/tests/cells/cancellation_mutants.py
@@ -7,7 +7,7 @@
 from typing import Any
 from unittest.mock import patch
 
-from marjoramwharf.cells import job_cleanup
+from marjoramwharf.cells import cancellation_cleanup
 from marjoramwharf.cells.cancellations import Cancellations
 from marjoramwharf.cells.job_canceller import JobCanceller
 from marjoramwharf.cells.job_submitter import JobSubmitter
@@ -52,6 +52,6 @@
         Cancellations, 'observe', _observe_first
     ),
     'a cancellation stays while its request is stored': lambda: patch(
-        f'{job_cleanup.__name__}.request_key', _key_of_nothing
+        f'{cancellation_cleanup.__name__}.request_key', _key_of_nothing
     ),
 }
