Don't let a removal hit, or hide, a later job of the same id

Callers would see: the id of a job that ended 150 s ago is used for another job, which is accepted with 200 and never done (LOST).

Cause: the removal of a finished job asked only for the same owner. If it got no answer, the store could carry it out seconds after its repeat, and then it deleted the records of the new job. And if it was carried out without an answer, the owner still knew the former job, ignored the request of the new one, and deleted it with the repeat.

Change: a removal depends on the revision of each request, and a refused one shows what is gone. A request with a higher revision than that of a finished job is that of a new job. 7 jobs are removed a call in place of 10.

Evidence: test_late_removal and test_unanswered_removal fail without the change (the request is gone from the store; no start within 5 s) and pass with it, as do the 33 tests on cancellations, removals, inbox and intake.

--- a/src/marjoramwharf/cells/cancellation_cleanup.py
+++ b/src/marjoramwharf/cells/cancellation_cleanup.py
@@ -100,6 +100,6 @@
         job_id = cancellation.job_id
         cancel = found.get(cancel_key(cell, job_id))
         if cancel is None or request_key(cell, job_id) in found:
-            cancellations.discard(job_id)
+            cancellations.discard(job_id, up_to_revision=cancellation.revision)
         else:
             cancellations.observe(job_id, cancel.mod_revision, now_s=boot_s())
--- a/src/marjoramwharf/cells/cancellations.py
+++ b/src/marjoramwharf/cells/cancellations.py
@@ -58,9 +58,11 @@
         known = self._by_job.get(job_id)
         return known is not None and known.revision > request_revision
 
-    def discard(self, job_id: JobId) -> None:
-        """Forget the cancellation of an id, if there is one."""
-        self._by_job.pop(job_id, None)
+    def discard(self, job_id: JobId, *, up_to_revision: int) -> None:
+        """Forget the cancellation of an id, unless it is a later one."""
+        known = self._by_job.get(job_id)
+        if known is not None and known.revision <= up_to_revision:
+            self._by_job.pop(job_id)
 
     def expired(
         self,
--- a/src/marjoramwharf/cells/inbox.py
+++ b/src/marjoramwharf/cells/inbox.py
@@ -36,6 +36,17 @@
 _ProgressByJob = dict[JobId, tuple[ProgressRecord, int]]
 
 
+@dataclass(frozen=True, slots=True)
+class _Removal:
+    """A job that has been removed from the store, by its request's revision.
+
+    The store had nothing of it any more at ``by_revision``.
+    """
+
+    request_revision: int
+    by_revision: int
+
+
 @dataclass(slots=True)
 class Inbox:
     """Reads requests and cancellations and applies them to the cell's jobs.
@@ -51,8 +62,8 @@
     # Also holds ids without a job, and jobs whose request isn't read yet.
     cancellations: Cancellations = field(default_factory=Cancellations)
     _damaged: set[JobId] = field(default_factory=set)
-    # Revisions at which jobs were removed, until a batch is later than that.
-    _removed: dict[JobId, int] = field(default_factory=dict)
+    # Each until a batch is later than the removal.
+    _removed: dict[JobId, _Removal] = field(default_factory=dict)
 
     async def load(self, store: PollingStore) -> None:
         """Restore all jobs and their progress; raises store failures.
@@ -87,36 +98,60 @@
                 self._add_job(event.stored, now_s, now_ms)
                 self._apply_cancellation(event.stored)
         self._removed = {
-            job_id: revision
-            for job_id, revision in self._removed.items()
-            if revision > batch.revision
+            job_id: removal
+            for job_id, removal in self._removed.items()
+            if removal.by_revision > batch.revision
         }
         self.on_change()
 
-    def forget(self, job_id: JobId, *, removed_at_revision: int) -> None:
-        """Forget a job that has been removed from the store.
+    def forget(self, job: Job, *, removed_by_revision: int) -> None:
+        """Forget a job that was removed from the store, at this revision or before.
 
         A batch that was read before may still arrive. The job in it would look
-        like a new one, and all of it would run again.
+        like a new one, and all of it would run again. If another job has come
+        in its place meanwhile, that one stays.
         """
-        self.cancellations.discard(job_id)
-        self._removed[job_id] = removed_at_revision
+        job_id = job.job_id
+        self._removed[job_id] = _Removal(
+            job.request_revision, removed_by_revision
+        )
+        if self.job_table.jobs.get(job_id) is job:
+            self.job_table.forget(job_id)
+            self.cancellations.discard(
+                job_id, up_to_revision=removed_by_revision
+            )
 
     def _is_removed(self, stored: StoredValue) -> bool:
-        """Whether a value is from before the removal of its job."""
+        """Whether a request is that of a removed job."""
         job_id = JobId(stored.key.rpartition('/')[2])
-        return stored.mod_revision < self._removed.get(job_id, 0)
+        removal = self._removed.get(job_id)
+        if removal is None:
+            return False
+        return stored.mod_revision <= removal.request_revision
 
     def _add_job(self, stored: StoredValue, now_s: float, now_ms: int) -> None:
         """Add the job of a request, unless the value is none or damaged."""
         request = self._decode_request(stored)
         if request is None or request.job_id in self._damaged:
             return
+        self._forget_former(request.job_id, stored.mod_revision)
         with self._left_out_on_error(request.job_id):
             job = self.job_table.add(request, now_s=now_s, now_ms=now_ms)
             job.request_revision = job.request_revision or stored.mod_revision
         self._cancel_job(request.job_id)
 
+    def _forget_former(self, job_id: JobId, revision: int) -> None:
+        """Forget a finished job if a later request has its id.
+
+        A request is written once, so the former job has been removed, though
+        the store's answer hasn't come yet or was lost.
+        """
+        job = self.job_table.jobs.get(job_id)
+        if job is None or job.is_open:
+            return
+        if job.request_revision < revision:
+            self.forget(job, removed_by_revision=revision)
+
     @contextmanager
     def _left_out_on_error(self, job_id: JobId) -> Iterator[None]:
         """Leave out a job that can't be added, so that it hides no other."""
--- a/src/marjoramwharf/cells/job_cleanup.py
+++ b/src/marjoramwharf/cells/job_cleanup.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.inbox import Inbox
+from marjoramwharf.cells.owner_guard import found_by_owner
 from marjoramwharf.cells.records import (
     CellId,
     cancel_key,
@@ -13,16 +15,30 @@
     request_key,
 )
 from marjoramwharf.errors import Failure
-from marjoramwharf.links.store import Committed, Guard, PollingStore, Write
+from marjoramwharf.links.store import (
+    Committed,
+    Guard,
+    PollingStore,
+    StoredValue,
+    Write,
+)
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.job_state import Job
 from marjoramwharf.scheduling.job_table import JobTable
 
 _LOG = part_logger('cell')
 
-# The three keys of each job and the condition on the owner's record have to fit
-# into one call to the store.
-_JOBS_PER_COMMIT = 10
+# The three keys of each job, the condition on its request and that on the owner's
+# record have to fit into one call to the store.
+_JOBS_PER_COMMIT = 7
+
+
+@dataclass(frozen=True, slots=True)
+class _Removal:
+    """Jobs of which the store had nothing any more at a revision."""
+
+    jobs: Sequence[Job]
+    by_revision: int
 
 
 async def remove_finished_jobs(
@@ -43,12 +59,15 @@
     ]
     for start in range(0, len(expired), _JOBS_PER_COMMIT):
         batch = expired[start : start + _JOBS_PER_COMMIT]
-        revision = await _remove_from_store(store, cell, ownership_guard, batch)
-        if revision is None:
+        try:
+            removal = await _remove_from_store(
+                store, cell, ownership_guard, batch
+            )
+        except Failure as failure:
+            _LOG.info('finished jobs not removed yet', error=str(failure))
             return
-        for job in batch:
-            job_table.forget(job.job_id)
-            inbox.forget(job.job_id, removed_at_revision=revision)
+        for job in removal.jobs:
+            inbox.forget(job, removed_by_revision=removal.by_revision)
 
 
 def _is_expired(job: Job, min_age_s: float) -> bool:
@@ -63,23 +82,45 @@
     cell: CellId,
     ownership_guard: Guard,
     jobs: Sequence[Job],
-) -> int | None:
-    """Delete the keys of some jobs.
+) -> _Removal:
+    """Delete the keys of some jobs, and return those that are gone.
 
-    Returns the revision of the deletion, ``None`` unless it is certain.
+    The store may carry the call out late, when another job has the same id. So
+    it depends on the requests. If one of them has changed, an earlier call
+    without an answer was applied. Raises ``NotOwner`` if the owner's record
+    isn't that of this entry.
     """
-    writes = [
-        Write(key, None)
+    outcome = await store.commit(
+        _guards(cell, ownership_guard, jobs),
+        [Write(key, None) for job in jobs for key in _keys(cell, job)],
+    )
+    if isinstance(outcome, Committed):
+        return _Removal(jobs, outcome.revision)
+    found = found_by_owner(outcome, ownership_guard)
+    gone = [job for job in jobs if not _is_found(cell, job, found)]
+    snapshot = await store.read_prefix(request_key(cell, gone[0].job_id))
+    return _Removal(gone, snapshot.revision)
+
+
+def _guards(
+    cell: CellId, ownership_guard: Guard, jobs: Sequence[Job]
+) -> list[Guard]:
+    """Return the conditions of a removal: the owner and the jobs are the same."""
+    requests = [
+        Guard(request_key(cell, job.job_id), job.request_revision)
         for job in jobs
-        for key in (
-            request_key(cell, job.job_id),
-            cancel_key(cell, job.job_id),
-            progress_key(cell, job.job_id),
-        )
     ]
-    try:
-        outcome = await store.commit([ownership_guard], writes)
-    except Failure as failure:
-        _LOG.info('finished jobs not removed yet', error=str(failure))
-        return None
-    return outcome.revision if isinstance(outcome, Committed) else None
+    return [ownership_guard, *requests]
+
+
+def _keys(cell: CellId, job: Job) -> tuple[str, ...]:
+    return (
+        request_key(cell, job.job_id),
+        cancel_key(cell, job.job_id),
+        progress_key(cell, job.job_id),
+    )
+
+
+def _is_found(cell: CellId, job: Job, found: Mapping[str, StoredValue]) -> bool:
+    stored = found.get(request_key(cell, job.job_id))
+    return stored is not None and stored.mod_revision == job.request_revision
--- a/tests/cells/test_inbox.py
+++ b/tests/cells/test_inbox.py
@@ -69,9 +69,9 @@
         self.job_table = JobTable()
         self.inbox = _new_inbox(self.job_table)
         self._apply(5, _request_event(5))
+        job = self.job_table.jobs[_JOB_ID]
         self.job_table.cancel(_JOB_ID, now_s=0)
-        self.job_table.forget(_JOB_ID)
-        self.inbox.forget(_JOB_ID, removed_at_revision=20)
+        self.inbox.forget(job, removed_by_revision=20)
 
     def test_late_read(self) -> None:
         """Guards against a read that was answered before the removal."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -42,6 +42,7 @@
     'test_inbox',
     'test_unstored_cancellations',
     'test_cancellation_removal',
+    'test_job_removal',
     'test_histories',
 )
 
