--- a/src/marjoramwharf/cells/inbox.py
+++ b/src/marjoramwharf/cells/inbox.py
@@ -62,7 +62,7 @@
     # Also holds ids without a job, and jobs whose request isn't read yet.
     cancellations: Cancellations = field(default_factory=Cancellations)
     _damaged: set[JobId] = field(default_factory=set)
-    # Each until a batch is later than the removal.
+    # Each is kept until a batch is later than the removal.
     _removed: dict[JobId, _Removal] = field(default_factory=dict)
 
     async def load(self, store: PollingStore) -> None:
@@ -105,7 +105,7 @@
         self.on_change()
 
     def forget(self, job: Job, *, removed_by_revision: int) -> None:
-        """Forget a job that was removed from the store, at this revision or before.
+        """Forget a job that had been removed from the store at a revision.
 
         A batch that was read before may still arrive. The job in it would look
         like a new one, and all of it would run again. If another job has come
--- a/src/marjoramwharf/cells/job_cleanup.py
+++ b/src/marjoramwharf/cells/job_cleanup.py
@@ -52,7 +52,8 @@
 ) -> None:
     """Remove jobs that finished more than ``min_age_s`` ago.
 
-    Stops at the first failed or refused write; the next call tries again.
+    Stops at the first failed write. The next call tries again, also to remove
+    what a refused write has left.
     """
     expired = [
         job for job in job_table.jobs.values() if _is_expired(job, min_age_s)
