Call a kept cancellation of an unknown job a tombstone

Cause: "barred" was this project's own word for what the field calls a tombstone, and a cancel during which its job was stored or removed was reported as StoreUnavailable, though the store had answered.

Change: cells/tombstones.py (was barred_ids.py), the log line `tombstone stored`, and a failure of its own, JobChanged, which callers are told with 503 as before. No behaviour changes but the reason in the log.

--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from marjoramwharf.cells.barred_ids import BarredIds
+from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.instance_settings import Bounds
@@ -71,7 +71,7 @@
 
     ``local_cell`` returns the cell if this entry owns it, and ``owner_link``
     asks the owner otherwise. ``is_store_reachable`` tells whether a call to
-    the store is likely to succeed. ``barred_ids`` bounds the cancellations of
+    the store is likely to succeed. ``tombstone_limit`` bounds the cancellations of
     unknown jobs.
     """
 
@@ -81,8 +81,8 @@
     local_cell: CellSource
     is_store_reachable: Callable[[], bool] = _always
     counters: CellCounters = field(default_factory=CellCounters)
-    barred_ids: BarredIds = field(
-        default_factory=lambda: BarredIds(retention_s(Bounds().status_ms))
+    tombstone_limit: TombstoneLimit = field(
+        default_factory=lambda: TombstoneLimit(retention_s(Bounds().status_ms))
     )
     _unknown_jobs: UnknownJobs = field(init=False)
     _submitter: JobSubmitter = field(init=False)
@@ -95,7 +95,7 @@
         self._unknown_jobs = UnknownJobs(self.counters)
         self._submitter = JobSubmitter(self.store, self.cell, retries)
         self._canceller = JobCanceller(
-            self.store, self.cell, retries, self.barred_ids
+            self.store, self.cell, retries, self.tombstone_limit
         )
 
     async def submit(
--- a/src/marjoramwharf/cells/job_canceller.py
+++ b/src/marjoramwharf/cells/job_canceller.py
@@ -3,7 +3,7 @@
 The job may not be stored yet, though an entry or the store still works on its
 submission. So the cancellation of an unknown id is stored, too, before the
 caller learns that there is no such job: from then on no write of a submission
-can store the job. The owner of the cell removes it later, see
+can store the job. The owner of the cell removes this tombstone later, see
 :mod:`cells.cancellation_cleanup`.
 """
 
@@ -13,11 +13,16 @@
 
 import trio
 
-from marjoramwharf.cells.barred_ids import BarredIds
+from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.records import CellId, cancel_key, request_key
 from marjoramwharf.cells.store_retries import StoreRetries
-from marjoramwharf.errors import Failure, StoreAnswerLost, StoreUnavailable
+from marjoramwharf.errors import (
+    Failure,
+    JobChanged,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.store import (
     Committed,
@@ -39,22 +44,22 @@
     store: PollingStore
     cell: CellId
     retries: StoreRetries
-    barred_ids: BarredIds
+    tombstone_limit: TombstoneLimit
 
     async def cancel(self, job_id: JobId, *, deadline_s: float) -> bool:
         """Store the cancellation of a job; return whether the job exists.
 
         When the deadline has passed or the store can't be reached, raises
-        ``StoreUnavailable`` if certainly nothing was stored, and
-        ``StoreAnswerLost`` if any of the attempts may have been. Raises
-        ``TooManyBarredIds`` if the job is unknown and this entry has stored the
+        ``StoreUnavailable`` or ``JobChanged`` if certainly nothing was stored,
+        and ``StoreAnswerLost`` if any of the attempts may have been. Raises
+        ``TooManyTombstones`` if the job is unknown and this entry has stored the
         cancellations of many such jobs.
         """
         told: Failure | None = None
         while True:
             try:
                 return await self._cancel_once(job_id)
-            except (StoreUnavailable, StoreAnswerLost) as failure:
+            except (StoreUnavailable, JobChanged, StoreAnswerLost) as failure:
                 # A later refusal says nothing about an unanswered attempt.
                 if not isinstance(told, StoreAnswerLost):
                     told = failure
@@ -66,12 +71,12 @@
     async def _cancel_once(self, job_id: JobId) -> bool:
         """Write the cancellation; return whether the job exists.
 
-        Raises ``StoreUnavailable`` if the request of the job was stored or
-        removed in the meantime, so that nothing was written.
+        Raises ``JobChanged`` if the request of the job was stored or removed in
+        the meantime, so that nothing was written.
         """
         stored = await self.store.read(request_key(self.cell, job_id))
         if stored is None:
-            await self._bar(job_id)
+            await self._store_tombstone(job_id)
             return False
         await self._cancel_stored(job_id, stored)
         return True
@@ -88,19 +93,19 @@
             return
         found = {stored.key: stored for stored in outcome.found}
         if cancel not in found or found.get(request.key) != request:
-            raise StoreUnavailable(message='the job has just been removed')
+            raise JobChanged(message='the job has just been removed')
 
-    async def _bar(self, job_id: JobId) -> None:
+    async def _store_tombstone(self, job_id: JobId) -> None:
         """Keep the request of an unknown job from being stored.
 
         A cancellation that is there already is written again, so that it stays
         as long as this caller needs it.
         """
-        self.barred_ids.admit(job_id, now_s=boot_s())
+        self.tombstone_limit.admit(job_id, now_s=boot_s())
         outcome = await self.store.commit(
             [Guard(request_key(self.cell, job_id), 0)],
             [Write(cancel_key(self.cell, job_id), _CANCELLED)],
         )
         if not isinstance(outcome, Committed):
-            raise StoreUnavailable(message='the job has just been stored')
-        _LOG.info('unknown job barred', job=job_id, revision=outcome.revision)
+            raise JobChanged(message='the job has just been stored')
+        _LOG.info('tombstone stored', job=job_id, revision=outcome.revision)
--- a/src/marjoramwharf/errors.py
+++ b/src/marjoramwharf/errors.py
@@ -33,7 +33,8 @@
     STORE_ANSWER_LOST = 'store_answer_lost'
     STORE_BUDGET = 'store_budget'
     STORE_REFUSED = 'store_refused'
-    BARRED_IDS_LIMIT = 'barred_ids_limit'
+    JOB_CHANGED = 'job_changed'
+    TOMBSTONE_LIMIT = 'tombstone_limit'
     HISTORY_LOST = 'history_lost'
     LEASE_ENDED = 'lease_ended'
     ADVICE_UNAVAILABLE = 'advice_unavailable'
@@ -100,13 +101,22 @@
     reason = Reason.STORE_REFUSED
 
 
-class TooManyBarredIds(Failure):
+class JobChanged(Failure):
+    """A job was stored or removed while a call was made that depends on it.
+
+    Nothing was applied; the same call may succeed if it is made again.
+    """
+
+    reason = Reason.JOB_CHANGED
+
+
+class TooManyTombstones(Failure):
     """An entry has stored the cancellations of too many unknown jobs lately.
 
     Nothing was stored; ``retry_after_s`` tells when the next one may be.
     """
 
-    reason = Reason.BARRED_IDS_LIMIT
+    reason = Reason.TOMBSTONE_LIMIT
 
 
 class StoreAnswerLost(Failure):
--- a/src/marjoramwharf/platform/job_api.py
+++ b/src/marjoramwharf/platform/job_api.py
@@ -15,8 +15,9 @@
 from marjoramwharf.errors import (
     BadJob,
     Failure,
+    JobChanged,
     StoreUnavailable,
-    TooManyBarredIds,
+    TooManyTombstones,
 )
 from marjoramwharf.ids import JobId
 from marjoramwharf.links.http_server import HttpRequest, HttpResponse
@@ -130,7 +131,7 @@
         if outcome is SubmissionOutcome.CANCELLED:
             return _too_many(
                 'cancelled before it was accepted, and not run',
-                retry_after_s=self.intake.barred_ids.kept_s,
+                retry_after_s=self.intake.tombstone_limit.kept_s,
             )
         return _SUBMISSION_REPLIES[outcome]
 
@@ -184,11 +185,11 @@
     )
     if isinstance(failure, BadJob):
         return _MALFORMED
-    if isinstance(failure, TooManyBarredIds):
+    if isinstance(failure, TooManyTombstones):
         return _too_many(
             failure.message, retry_after_s=failure.retry_after_s or 0
         )
-    if isinstance(failure, StoreUnavailable):
+    if isinstance(failure, (StoreUnavailable, JobChanged)):
         return _STATE_UNAVAILABLE
     return _OUTCOME_UNKNOWN
 
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from marjoramwharf.cells.barred_ids import BarredIds
+from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.cells.cell import Cell
 from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.clocks import boot_s
@@ -186,7 +186,7 @@
             self.owned_cell,
             lambda: self.store.is_reachable,
             self.counters,
-            BarredIds(retention_s(settings.bounds.status_ms)),
+            TombstoneLimit(retention_s(settings.bounds.status_ms)),
         )
         handler = JobApi(intake, lambda: self.operators.config.current)
         self.api_server = HttpServer(handler.handle)
--- a/tests/cells/test_cancellation_removal.py
+++ b/tests/cells/test_cancellation_removal.py
@@ -37,7 +37,7 @@
 
 def _open_front(cluster: Cluster) -> Front:
     front = open_front(cluster.store.state)
-    front.intake.barred_ids.kept_s = _KEPT_S
+    front.intake.tombstone_limit.kept_s = _KEPT_S
     return front
 
 
@@ -61,7 +61,7 @@
         )
 
     def test_retention(self) -> None:
-        """Guards against a bar that goes before the latest write it is for."""
+        """Guards against a tombstone that goes before the latest write."""
         self.assertEqual(150, retention_s(120_000))
         self.assertGreaterEqual(retention_s(0), 2 * LONGEST_SUBMISSION_S)
 
@@ -74,7 +74,7 @@
         run_with_clock(self._store_grows_no_further)
 
     def test_renewed_cancellation(self) -> None:
-        """Guards against the removal of a bar that a later cancel relies on."""
+        """Guards against a removed tombstone that a later cancel needs."""
         run_with_clock(self._renewed_cancellation)
 
     def test_lost_removal(self) -> None:
@@ -101,7 +101,7 @@
     async def _store_grows_no_further(self) -> None:
         async with open_cluster() as (cluster, nursery):
             front = _open_front(cluster)
-            front.intake.barred_ids.limit_count = _LIMIT_COUNT
+            front.intake.tombstone_limit.limit_count = _LIMIT_COUNT
             owner = cluster.spawn(nursery, 'e1')
             cell = await wait_for_owner(cluster, owner)
             statuses = [
--- a/tests/cells/test_unstored_cancellations.py
+++ b/tests/cells/test_unstored_cancellations.py
@@ -118,7 +118,7 @@
         run_with_clock(self._stored_id_again)
 
     def test_suspended_entry(self) -> None:
-        """Guards against a write that is repeated when the bar has gone."""
+        """Guards against a write that is repeated after the tombstone."""
         run_with_clock(self._suspended_entry)
 
     @settings(max_examples=_EXAMPLES_COUNT, deadline=None, derandomize=True)
