Ask the store about a worker off the list before it gets runs

What callers would see: a job that starts at a worker which has said that it drains, or at one of another service.

Cause: 2 s after an owner had found a worker that the list lacked, it took what it had read of the list for what the store had. A draining listing that came and expired between two owners, or one that a late watch hadn't shown, didn't count.

A worker that is listed is left to the watch. A refused start no longer shortens a longer block.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -85,6 +85,7 @@
     maintenance: Maintenance = field(init=False)
     _inbox: Inbox = field(init=False)
     _succession: Succession = field(init=False)
+    _workers_watcher: PrefixWatcher = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the components that share this cell's state."""
@@ -103,8 +104,15 @@
             on_worker_changed=lambda worker_id: (
                 self._succession.roster.mark_changed(worker_id)
             ),
+            checks=context.unlisted_checks(),
             fleet=Fleet(evacuated=context.evacuated),
         )
+        self._workers_watcher = PrefixWatcher(
+            context.store,
+            context.workers_prefix,
+            self.worker_registry.apply,
+            batch_delay_s=_HEARTBEAT_COLLECTION_S,
+        )
         self._progress_writer = ProgressWriter(
             store=context.store,
             cell=ownership.cell,
@@ -120,7 +128,11 @@
             on_change=self._wake_planner_and_writer,
         )
         self._succession = build_succession(
-            context, ownership, self._model, self.worker_registry.listings
+            context,
+            ownership,
+            self._model,
+            self.worker_registry.listings,
+            lambda: self._workers_watcher.revision,
         )
         self._ticket_cache = TicketCache(
             client=context.advice_client,
@@ -191,19 +203,13 @@
             inbox_prefix(self.ownership.cell),
             self._inbox.apply,
         )
-        workers = PrefixWatcher(
-            store,
-            self.worker_registry.prefix,
-            self.worker_registry.apply,
-            batch_delay_s=_HEARTBEAT_COLLECTION_S,
-        )
         async with trio.open_nursery() as nursery:
             self.worker_registry.attach(nursery)
             self.worker_registry.restore(known_workers)
             nursery.start_soon(self._progress_writer.run)
             self._succession.start(nursery)
             nursery.start_soon(inbox.run)
-            nursery.start_soon(workers.run)
+            nursery.start_soon(self._workers_watcher.run)
             nursery.start_soon(self._plan_loop.run)
             nursery.start_soon(self.maintenance.run)
             nursery.start_soon(run_restarted, 'tickets', self._ticket_cache.run)
@@ -294,7 +300,12 @@
         Returns whether it is known from now on.
         """
         if may_use_replacement(former, self.context.configuration()):
-            self.worker_registry.adopt(former, worker_id, now_s=boot_s())
+            self.worker_registry.adopt(
+                former,
+                worker_id,
+                now_s=boot_s(),
+                list_revision=self._workers_watcher.revision,
+            )
         return worker_id in self.worker_registry.fleet.workers
 
     def on_superseded(self) -> None:
--- a/src/marjoramwharf/cells/cell_context.py
+++ b/src/marjoramwharf/cells/cell_context.py
@@ -12,9 +12,9 @@
 from marjoramwharf.cells.lapsing_view import LapsingView
 from marjoramwharf.cells.link_context import LinkContext
 from marjoramwharf.cells.records import CellId
+from marjoramwharf.cells.unlisted_checks import ListingDecoder, UnlistedChecks
 from marjoramwharf.cells.worker_clock import MIN_CLOCK_RATE
 from marjoramwharf.cells.worker_messages import WorkerClient
-from marjoramwharf.cells.worker_registry import ListingDecoder
 from marjoramwharf.ids import DataCentreId
 from marjoramwharf.links.store import Guard, PollingStore
 from marjoramwharf.scheduling.policy import Configuration
@@ -74,6 +74,12 @@
             counters=self.counters,
         )
 
+    def unlisted_checks(self) -> UnlistedChecks:
+        """Return what asks the store about workers that aren't listed."""
+        return UnlistedChecks(
+            self.store, self.workers_prefix, self.decode_listing
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class CellOwnership:
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -213,6 +213,11 @@
     return f'{roster_prefix(cell)}{part}'
 
 
+def list_position_key(cell: CellId) -> str:
+    """Key that tells how far the owner has followed the list of workers."""
+    return f'{roster_prefix(cell)}position'
+
+
 def progress_prefix(cell: CellId) -> str:
     """Prefix of the progress of all jobs of a cell."""
     return f'mw/{cell}/run/'
--- a/src/marjoramwharf/cells/succession.py
+++ b/src/marjoramwharf/cells/succession.py
@@ -9,8 +9,9 @@
 
 from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.lapsing_workers import LapsingWorkers
+from marjoramwharf.cells.list_position import ListPosition
 from marjoramwharf.cells.model_saver import ModelSaver
-from marjoramwharf.cells.worker_roster import WorkerRoster
+from marjoramwharf.cells.worker_roster import KnownWorkers, WorkerRoster
 from marjoramwharf.isolation import run_restarted
 from marjoramwharf.scheduling.fleet import WorkerListing
 from marjoramwharf.scheduling.interference import InterferenceModel
@@ -22,21 +23,24 @@
 
     lapsing: LapsingWorkers
     roster: WorkerRoster
+    list_position: ListPosition
     model_saver: ModelSaver
 
-    async def load(self) -> list[WorkerListing]:
+    async def load(self) -> KnownWorkers:
         """Read what the former owner has left; return the workers it knew.
 
         Raises store failures.
         """
         await self.lapsing.load()
         await self.model_saver.load()
-        return await self.roster.load()
+        list_revision = await self.list_position.load()
+        return KnownWorkers(tuple(await self.roster.load()), list_revision)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Keep the records up to date in tasks of a nursery."""
         nursery.start_soon(self.lapsing.run)
         nursery.start_soon(self.roster.run)
+        nursery.start_soon(self.list_position.run)
         nursery.start_soon(run_restarted, 'model saver', self.model_saver.run)
 
 
@@ -45,6 +49,7 @@
     ownership: CellOwnership,
     model: InterferenceModel,
     known_listings: Callable[[], Iterable[WorkerListing]],
+    list_revision: Callable[[], int],
 ) -> Succession:
     """Create the records of one tenure."""
     return Succession(
@@ -61,5 +66,8 @@
             ownership_guard=ownership.guard,
             known_listings=known_listings,
         ),
+        ListPosition(
+            context.store, ownership.cell, ownership.guard, list_revision
+        ),
         ModelSaver(context.store, ownership.cell, ownership.guard, model),
     )
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -325,11 +325,10 @@
             worker=self.worker.worker_id,
             outcome=outcome.value,
         )
-        now_s = boot_s()
+        pause_s = _UNHEALTHY_WORKER_PAUSE_S
         if outcome is OrderOutcome.NO_ROOM:
-            self.worker.blocked_until_s = now_s + _FULL_WORKER_PAUSE_S
-        else:
-            self.worker.blocked_until_s = now_s + _UNHEALTHY_WORKER_PAUSE_S
+            pause_s = _FULL_WORKER_PAUSE_S
+        self.worker.block_until(boot_s() + pause_s)
         if run.is_start_unconfirmed:
             await self.stop(run)
         else:
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -2,20 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+import math
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 import trio
 
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
+from marjoramwharf.cells.unlisted_checks import ListingDecoder, UnlistedChecks
 from marjoramwharf.cells.unlisted_workers import (
-    LISTING_WAIT_S,
     is_worth_handing_over,
     may_be_forgotten,
     replacement_listing,
 )
 from marjoramwharf.cells.worker_link import WorkerLink
+from marjoramwharf.cells.worker_roster import KnownWorkers
 from marjoramwharf.errors import Failure
 from marjoramwharf.ids import WorkerId
 from marjoramwharf.isolation import log_unexpected, run_isolated
@@ -38,8 +41,6 @@
 
 _MS_PER_S = 1_000
 
-ListingDecoder = Callable[[str, bytes], WorkerListing]
-
 
 @dataclass(slots=True)
 class WorkerRegistry:
@@ -62,6 +63,7 @@
     drain_ms: int
     on_change: Callable[[], None]
     on_worker_changed: Callable[[WorkerId], None]
+    checks: UnlistedChecks
     fleet: Fleet = field(default_factory=Fleet)
     links: dict[WorkerId, WorkerLink] = field(default_factory=dict)
     _pace_controllers: dict[WorkerId, PaceController] = field(
@@ -69,7 +71,7 @@
     )
     _learners: dict[WorkerId, InterferenceLearner] = field(default_factory=dict)
     _nursery: trio.Nursery | None = None
-    _restorable: tuple[WorkerListing, ...] = ()
+    _restorable: KnownWorkers = KnownWorkers()
     # Live runs by worker, while new workers are added.
     _placed_runs: dict[WorkerId, list[Run]] | None = None
 
@@ -97,38 +99,66 @@
             self._add_restorable(listed, now_s)
         self.on_change()
 
-    def restore(self, listings: Iterable[WorkerListing]) -> None:
+    def restore(self, known: KnownWorkers) -> None:
         """Track the workers that a former owner knew and the list lacks.
 
         They are added once the list has been read, which may say otherwise.
         """
-        self._restorable = tuple(listings)
+        self._restorable = known
 
     def _add_restorable(self, listed: set[WorkerId], now_s: float) -> None:
-        restorable = self._restorable
-        self._restorable = ()
-        for listing in restorable:
+        known = self._restorable
+        self._restorable = KnownWorkers()
+        for listing in known.listings:
             if listing.worker_id not in listed:
-                self._add_unlisted(listing, now_s)
+                self._add_unlisted(listing, now_s, known.list_revision)
+
+    def _add_unlisted(
+        self, listing: WorkerListing, now_s: float, list_revision: int
+    ) -> None:
+        """Track a worker that gets runs once the store was asked about it.
 
-    def _add_unlisted(self, listing: WorkerListing, now_s: float) -> None:
-        """Track a worker that gets runs if the list doesn't show it soon."""
+        ``list_revision`` is the one up to which the list is known to lack it, or
+        to have had this listing.
+        """
         self._placed_runs = None
         worker = Worker(
             listing,
             is_listed=False,
             unlisted_at_s=now_s,
-            blocked_until_s=now_s + LISTING_WAIT_S,
+            blocked_until_s=math.inf,
         )
         self._add_worker(worker)
+        if self._nursery is not None:
+            self._nursery.start_soon(
+                run_isolated,
+                'check of an unlisted worker',
+                partial(self._check, worker, list_revision),
+            )
+
+    async def _check(self, worker: Worker, list_revision: int) -> None:
+        await self.checks.run(
+            worker,
+            list_revision,
+            is_unlisted=lambda: (
+                worker.worker_id in self.fleet.workers and not worker.is_listed
+            ),
+        )
+        self.on_worker_changed(worker.worker_id)
+        self.on_change()
 
     def adopt(
-        self, former: Worker, worker_id: WorkerId, *, now_s: float
+        self,
+        former: Worker,
+        worker_id: WorkerId,
+        *,
+        now_s: float,
+        list_revision: int,
     ) -> None:
         """Track a worker that answers in the place of a former one."""
         if worker_id not in self.fleet.workers:
             listing = replacement_listing(former.listing, worker_id)
-            self._add_unlisted(listing, now_s)
+            self._add_unlisted(listing, now_s, list_revision)
 
     def listings(self) -> list[WorkerListing]:
         """Return the latest listing of each worker that the next owner asks."""
--- a/src/marjoramwharf/cells/worker_roster.py
+++ b/src/marjoramwharf/cells/worker_roster.py
@@ -71,6 +71,14 @@
     workers: tuple[WorkerRecord, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class KnownWorkers:
+    """The workers that an owner knew, by the list up to a revision."""
+
+    listings: tuple[WorkerListing, ...] = ()
+    list_revision: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class WorkerRoster:
     """Writes the listings of the known workers as they change.
--- a/src/marjoramwharf/links/prefix_watcher.py
+++ b/src/marjoramwharf/links/prefix_watcher.py
@@ -50,6 +50,14 @@
     _is_failing: bool = False
     _most_changes_count: int = _MIN_FULL_COUNT
 
+    @property
+    def revision(self) -> int:
+        """The revision up to which the handler has got all changes.
+
+        It is 0 before the first read, and while the prefix is to be read again.
+        """
+        return self._revision or 0
+
     async def run(self) -> None:
         """Watch the prefix until cancelled."""
         backoff = Backoff(
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -207,6 +207,10 @@
             self.listing_revision = revision
             self.listed_at_s = now_s
 
+    def block_until(self, until_s: float) -> None:
+        """Place no run here before a time, nor earlier than before."""
+        self.blocked_until_s = max(self.blocked_until_s, until_s)
+
     @property
     def is_listing_awaited(self) -> bool:
         """Whether the incarnation that answers has to list itself first.
--- a/tests/cells/worker_list_mutants.py
+++ b/tests/cells/worker_list_mutants.py
@@ -8,9 +8,13 @@
 from typing import Any
 from unittest.mock import patch
 
+import trio
+
 from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.list_position import ListPosition
 from marjoramwharf.cells.poll_admission import PollAdmission
 from marjoramwharf.cells.records import roster_key
+from marjoramwharf.cells.unlisted_checks import ListingHistory, UnlistedChecks
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.cells.worker_roster import WorkerRoster
 from marjoramwharf.ids import WorkerId
@@ -43,6 +47,15 @@
     ]
 
 
+async def _ask_nobody(*_args: object, **_named: object) -> ListingHistory:
+    await trio.lowlevel.checkpoint()
+    return ListingHistory(is_listed=False, latest=None)
+
+
+async def _store_no_position(*_args: object, **_named: object) -> None:
+    await trio.sleep_forever()
+
+
 def _listed_labels(worker: Worker) -> tuple[str, ...]:
     return worker.listing.labels
 
@@ -72,6 +85,12 @@
     'a late write of the roster is refused': lambda: patch.object(
         WorkerRoster, '_commit', _commit_whatever_is_stored
     ),
+    'the store is asked about a worker that is not listed': lambda: (
+        patch.object(UnlistedChecks, '_ask', _ask_nobody)
+    ),
+    'the next owner learns how far the list was followed': lambda: patch.object(
+        ListPosition, 'run', _store_no_position
+    ),
     'few polls begin in one round of the event loop': lambda: patch(
         f'{PollAdmission.__module__}._POLLS_PER_ROUND_COUNT', math.inf
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -39,6 +39,7 @@
     'test_replaced_workers',
     'test_unlisted_workers',
     'test_unlisted_precautions',
+    'test_unlisted_checks',
     'test_inbox',
     'test_unstored_cancellations',
     'test_cancellation_removal',
