Count a failed run of a gang once

Cause: each member that ended failed added an attempt to the count of the gang. Change: the latest number of a failed run is kept and stored beside the count, and counts once. Why it works: the members share the number, and the next one is planned only after all of them have ended, so a number that isn't higher is that of an attempt counted already.

--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -69,7 +69,10 @@
 
 
 class TaskRecord(Struct, frozen=True, array_like=True):
-    """State of a task for which at least one run has been planned."""
+    """State of a task for which at least one run has been planned.
+
+    An older build leaves ``last_failed_run`` out.
+    """
 
     occurrence: int
     step: int
@@ -79,6 +82,7 @@
     failures_count: int = 0
     checkpoint: str = ''
     runs: tuple[RunRecord, ...] = ()
+    last_failed_run: int = 0
 
 
 class ModelRecord(Struct, frozen=True, array_like=True):
@@ -301,6 +305,7 @@
             )
             for run in task.runs.values()
         ),
+        last_failed_run=task.last_failed_run,
     )
 
 
@@ -309,6 +314,7 @@
     task.step.done_count += record.is_done
     task.last_run = record.last_run
     task.failures_count = record.failures_count
+    task.last_failed_run = record.last_failed_run
     task.checkpoint = record.checkpoint
     # A planned run may have begun without the former owner's knowledge.
     task.has_begun = bool(record.last_run)
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -143,7 +143,9 @@
     """A task of a step and its live runs by number.
 
     While it is ready, it may not have been at work since ``away_since_s``: a
-    run that vanished was known to be there before, at its latest report.
+    run that vanished was known to be there before, at its latest report. The
+    first task of a gang counts the failures of the gang, one for each number
+    of its runs; ``last_failed_run`` is the latest number counted.
     """
 
     step: Step
@@ -152,6 +154,7 @@
     is_done: bool = False
     last_run: int = 0  # the highest run number used
     failures_count: int = 0
+    last_failed_run: int = 0
     checkpoint: str = ''
     runs: dict[int, Run] = field(default_factory=dict)
     failed_workers: set[WorkerId] = field(default_factory=set)
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -176,7 +176,7 @@
                 job.stage_times.add(run, now_s=now_s)
         elif how is RunEnd.FAILED:
             task.failed_workers.add(run.worker_id)
-            self._count_failure(task, max_attempts)
+            self._count_failure(run, max_attempts)
         self._mark_changed(job)
         self._advance_job(job, task.step, now_s)
         if how is RunEnd.VANISHED:
@@ -265,9 +265,18 @@
                 member.step.done_count += 1
                 self.ready.pop(member.name, None)
 
-    def _count_failure(self, task: Task, max_attempts: int) -> None:
-        """Count a failed attempt of a task, or of its gang as a whole."""
+    def _count_failure(self, run: Run, max_attempts: int) -> None:
+        """Count a failed attempt of a task, or of its gang as a whole.
+
+        The members of a gang share the number of their runs. Several of them
+        may fail in the same attempt, so a number counts once; the next one is
+        planned only after all of them have ended.
+        """
+        task = run.task
         counted = gang_of(task)[0]
+        if task.step.request.is_gang and run.number <= counted.last_failed_run:
+            return
+        counted.last_failed_run = run.number
         counted.failures_count += 1
         exhausted = counted.failures_count >= max_attempts
         job = job_of(task)
