Open the due times of a scheduled job a few at a time

Cause: the owner opened up to 20,000 occurrences at once and went through all of them for each end of a run, plan, write and restore; its loop stood still for longer than its lease, and each next owner did the same. Change: no occurrence is opened while 100 steps of its job wait; live runs are kept by job; an end looks at its own occurrence only; a successor leaves unopened what has not begun. The planning loop no longer spins while something is due and nothing may be planned. Why it works: what is looked at for one event is bounded by what has begun and by the 100 steps, and occurrences that have begun don't count towards these, so long runs still overlap.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -47,7 +47,11 @@
     RunEnd,
     RunPhase,
 )
-from marjoramwharf.scheduling.job_table import JobTable, job_of
+from marjoramwharf.scheduling.job_table import (
+    JobTable,
+    job_of,
+    surplus_runs_beside,
+)
 from marjoramwharf.scheduling.ordering import queue_of
 from marjoramwharf.scheduling.planner import Planner
 from marjoramwharf.scheduling.policy import QueuePolicy
@@ -332,7 +336,9 @@
         )
         if was_open and not job.is_open:
             self._record_finished_job(job, now_s)
-        self._stop_surplus_runs(job)
+            self._stop_surplus_runs(job)
+        else:
+            self._stop_all(surplus_runs_beside(run.task))
         self._wake_planner_and_writer()
         return job
 
@@ -372,7 +378,10 @@
 
     def _stop_surplus_runs(self, job: Job) -> None:
         """Stop the runs that a job no longer needs; drop the planned ones."""
-        for run in self.job_table.surplus_runs(job):
+        self._stop_all(self.job_table.surplus_runs(job))
+
+    def _stop_all(self, runs: list[Run]) -> None:
+        for run in runs:
             if run.phase is RunPhase.PLANNED:
                 self.end_run(run, RunEnd.VANISHED, '')
             else:
--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -92,7 +92,7 @@
         if self.may_plan():
             self.run_mover.move_all(now_s=boot_s())
         for job in tuple(self.job_table.jobs.values()):
-            if job.occurrences:
+            if job.runs:
                 self.stop_surplus_runs(job)
         self.worker_registry.remove_gone_workers(now_s=now_s)
         await self._remove_expired()
--- a/src/marjoramwharf/cells/plan_loop.py
+++ b/src/marjoramwharf/cells/plan_loop.py
@@ -52,7 +52,10 @@
 
     async def _plan_repeatedly(self) -> None:
         while True:
-            await self.signal.wait(timeout_s=self._next_pass_s())
+            may_plan = self.may_plan()
+            # What is due stays due while nothing may be planned.
+            period_s = self._next_pass_s() if may_plan else _PLAN_PERIOD_S
+            await self.signal.wait(timeout_s=period_s)
             if self.may_plan():
                 began_s = boot_s()
                 self._plan()
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -249,7 +249,7 @@
         phase=job.phase,
         has_begun=job.has_begun,
         next_occurrence=job.next_occurrence,
-        open_occurrences=tuple(job.occurrences),
+        open_occurrences=(*job.occurrences, *job.unopened),
         tasks=tuple(
             _build_task_record(task) for task in job.tasks() if task.last_run
         ),
@@ -276,9 +276,8 @@
     job.stored_phase = progress.phase
     job.has_begun = progress.has_begun
     job.stored_revision = revision
-    for number in progress.open_occurrences:
-        job.create_occurrence(number)
     job.next_occurrence = progress.next_occurrence
+    _restore_occurrences(job, progress)
     for record in progress.tasks:
         task = job.find(record.occurrence, record.step, record.index)
         if task is not None:
@@ -286,6 +285,22 @@
     return job
 
 
+def _restore_occurrences(job: Job, progress: ProgressRecord) -> None:
+    """Open the occurrences that have begun, and leave the others unopened.
+
+    A former owner may have had many of them open. Those at the end count as
+    not opened by it, so that they need no place in the record.
+    """
+    has_begun = {record.occurrence for record in progress.tasks}
+    for number in sorted(progress.open_occurrences):
+        if number in has_begun or not job.request.repeat_count:
+            job.create_occurrence(number)
+        else:
+            job.unopened.append(number)
+    while job.unopened and job.unopened[-1] == job.next_occurrence - 1:
+        job.next_occurrence = job.unopened.pop()
+
+
 def _build_task_record(task: Task) -> TaskRecord:
     step = task.step
     return TaskRecord(
@@ -322,13 +337,15 @@
     task.ready_since_s = now_s
     task.step.ready_since_s = now_s
     for run_record in record.runs:
-        task.runs[run_record.number] = Run(
-            task=task,
-            number=run_record.number,
-            worker_id=WorkerId(run_record.worker_id),
-            born_ms=run_record.born_ms,
-            phase=RunPhase.UNCERTAIN,
-            planned_s=now_s,
-            progressed_s=now_s,
-            checkpoint=record.checkpoint,
+        task.add_run(
+            Run(
+                task=task,
+                number=run_record.number,
+                worker_id=WorkerId(run_record.worker_id),
+                born_ms=run_record.born_ms,
+                phase=RunPhase.UNCERTAIN,
+                planned_s=now_s,
+                progressed_s=now_s,
+                checkpoint=record.checkpoint,
+            )
         )
--- a/src/marjoramwharf/platform/job_bodies.py
+++ b/src/marjoramwharf/platform/job_bodies.py
@@ -11,7 +11,7 @@
 from marjoramwharf.ids import JobId
 from marjoramwharf.json_bodies import SignedAmount, decode_json
 from marjoramwharf.scheduling.accepted_policy import accepted_policy
-from marjoramwharf.scheduling.job_table import MAX_OPEN_TASKS_COUNT
+from marjoramwharf.scheduling.open_occurrences import MAX_OPEN_TASKS_COUNT
 from marjoramwharf.scheduling.policy import QueuePolicy
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 
--- a/src/marjoramwharf/scheduling/job_state.py
+++ b/src/marjoramwharf/scheduling/job_state.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -168,6 +169,20 @@
         """Whether the task neither is done nor has a live run."""
         return not self.is_done and not self.runs
 
+    def add_run(self, run: Run) -> None:
+        """Add a live run."""
+        occurrence = self.step.occurrence
+        self.runs[run.number] = run
+        occurrence.runs_count += 1
+        occurrence.job.runs[run] = None
+
+    def remove_run(self, run: Run) -> None:
+        """Remove a run that has ended."""
+        occurrence = self.step.occurrence
+        self.runs.pop(run.number)
+        occurrence.runs_count -= 1
+        occurrence.job.runs.pop(run)
+
 
 @dataclass(slots=True, eq=False)
 class Step:
@@ -175,7 +190,7 @@
 
     ``critical_path_ms`` is the estimated time from the start of the step to
     the end of the longest chain of steps that it begins. Its first task became
-    ready at ``ready_since_s``.
+    ready at ``ready_since_s``, and ``ready_count`` of them are ready now.
     ``ended_progress_rates`` are the percentages per second of the runs that
     ended done. ``baseline_headroom`` forecasts the headroom of a serving step;
     ``over_target_counts`` tells by worker how many of its tasks are expected
@@ -193,6 +208,7 @@
     over_target_counts: dict[WorkerId, float] = field(default_factory=dict)
     tasks: list[Task] = field(default_factory=list)
     done_count: int = 0
+    ready_count: int = 0
     ready_since_s: float | None = None
 
     @property
@@ -209,25 +225,23 @@
 
 @dataclass(slots=True, eq=False)
 class Occurrence:
-    """One execution of the steps of a job, which may repeat."""
+    """One execution of the steps of a job, which may repeat.
+
+    ``runs_count`` is the number of its live runs.
+    """
 
     job: Job
     number: int
     due_ms: int  # the Unix time before which no task starts
     steps: list[Step] = field(default_factory=list)
     is_due: bool = False
+    runs_count: int = 0
 
     @property
     def is_done(self) -> bool:
         """Whether all steps are done."""
         return all(step.is_done for step in self.steps)
 
-    def live_runs(self) -> Iterator[Run]:
-        """Return all runs that have not ended, planned ones included."""
-        for step in self.steps:
-            for task in step.tasks:
-                yield from task.runs.values()
-
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -238,6 +252,11 @@
     of the job in the store, which is what callers are told. The job
     ``is_urgent`` if an order or a caller waits until a change is stored.
     ``known_since_s`` is the time at which this owner learned of the job.
+    ``occurrences`` are the open ones, of which something may start or still
+    runs. All others below ``next_occurrence`` are over, but for those that are
+    ``unopened``: a former owner had them open, and nothing of them has begun.
+    ``runs`` are the live runs in the order in which they were planned.
+    ``ready_steps_count`` is the number of steps with tasks that may start now.
     """
 
     request: JobRequest
@@ -245,6 +264,9 @@
     stored_phase: JobPhase = JobPhase.OPEN
     occurrences: dict[int, Occurrence] = field(default_factory=dict)
     next_occurrence: int = 0
+    unopened: deque[int] = field(default_factory=deque)
+    runs: dict[Run, None] = field(default_factory=dict, repr=False)
+    ready_steps_count: int = 0
     version: int = 0
     stored_version: int = 0
     stored_revision: int = 0  # of the job's progress record; 0 if it has none
@@ -293,8 +315,7 @@
 
     def live_runs(self) -> Iterator[Run]:
         """Return all runs that have not ended, planned ones included."""
-        for task in self.tasks():
-            yield from task.runs.values()
+        return iter(self.runs)
 
     def find(self, occurrence: int, step: int, index: int) -> Task | None:
         """Return a task by its numbers, ``None`` if there is none."""
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -17,9 +17,17 @@
     Run,
     RunEnd,
     RunPhase,
-    Step,
     Task,
 )
+from marjoramwharf.scheduling.open_occurrences import (
+    next_due_ms,
+    next_occurrence_number,
+)
+from marjoramwharf.scheduling.ready_tasks import (
+    ReadyTasks,
+    add_ready,
+    drop_ready,
+)
 from marjoramwharf.scheduling.short_work import ShortWorkDemand
 from marjoramwharf.scheduling.workload import JobRequest
 
@@ -27,9 +35,6 @@
 # tolerance that callers of scheduled jobs are promised.
 _EARLY_START_MS = 0
 
-# Bounds the memory of a job, whose owner holds each of its open tasks.
-MAX_OPEN_TASKS_COUNT = 20_000
-
 _FULL_PERCENT = 100
 _MIN_RUN_S = 0.01
 
@@ -40,12 +45,12 @@
 
     ``ready`` keeps the order in which tasks became ready. A planned run and
     the end of a job are urgent to store, since an order or a caller waits for
-    them. ``_repeating`` holds the jobs with occurrences still to be created, and
+    them. ``_repeating`` holds the jobs with occurrences still to be opened, and
     ``_early`` those restored before they are due by this entry's clock.
     """
 
     jobs: dict[JobId, Job] = field(default_factory=dict)
-    ready: dict[TaskId, Task] = field(default_factory=dict)
+    ready: ReadyTasks = field(default_factory=dict)
     unstored: dict[JobId, Job] = field(default_factory=dict)
     short_work: ShortWorkDemand = field(default_factory=ShortWorkDemand)
     _repeating: dict[JobId, Job] = field(default_factory=dict)
@@ -81,9 +86,10 @@
             self._update_ready(occurrence, now_s)
 
     def create_due_occurrences(self, *, now_s: float, now_ms: int) -> None:
-        """Create the occurrences of repeating jobs that are due by now.
+        """Open the occurrences of repeating jobs that are due by now.
 
-        Those that a former owner created may become due later by this clock.
+        A job has a limited number of them open; the others follow as these
+        begin and end. Those that a former owner opened may become due later by this clock.
         """
         early = self._early
         self._early = []
@@ -94,20 +100,16 @@
             elif occurrence.job.is_open:
                 self._update_ready(occurrence, now_s)
         for job in tuple(self._repeating.values()):
-            self._create_due(job, now_s, now_ms)
+            self._open_due(job, now_s, now_ms)
 
     def next_due_ms(self) -> int | None:
         """Return the Unix time at which the next occurrence is due, if any.
 
-        A job with as many open tasks as it may have waits for their ends.
+        A job that has as much open as it may have isn't counted.
         """
+        found = map(next_due_ms, self._repeating.values())
         return min(
-            (
-                job.request.due_ms(job.next_occurrence)
-                for job in self._repeating.values()
-                if _may_add_occurrence(job)
-            ),
-            default=None,
+            (due_ms for due_ms in found if due_ms is not None), default=None
         )
 
     def plan_run(
@@ -130,9 +132,9 @@
             progressed_s=now_s,
             checkpoint=task.checkpoint,
         )
-        task.runs[number] = run
+        task.add_run(run)
         task.last_run = max(task.last_run, number)
-        self.ready.pop(task.name, None)
+        drop_ready(self.ready, task)
         job = job_of(task)
         self._mark_changed(job, is_urgent=True)
         run.planned_version = job.version
@@ -163,11 +165,11 @@
     ) -> None:
         """Record the end of a run and its checkpoint, and update its job."""
         task = run.task
-        task.runs.pop(run.number, None)
+        task.remove_run(run)
         run.phase = RunPhase.ENDED
         job = job_of(task)
         if checkpoint:
-            self._save_checkpoint(task, checkpoint)
+            _save_checkpoint(task, checkpoint)
         if how is RunEnd.DONE:
             _record_progress_rate(run, now_s)
         if how is RunEnd.DONE and not task.step.request.is_lasting:
@@ -176,9 +178,9 @@
                 job.stage_times.add(run, now_s=now_s)
         elif how is RunEnd.FAILED:
             task.failed_workers.add(run.worker_id)
-            self._count_failure(run, max_attempts)
+            self._count_failure(run, max_attempts, now_s)
         self._mark_changed(job)
-        self._advance_job(job, task.step, now_s)
+        self._advance_job(task, now_s)
         if how is RunEnd.VANISHED:
             task.away_since_s = max(run.planned_s, run.progress_read_s)
 
@@ -238,14 +240,17 @@
             if not job.is_open or run.task.is_done
         ]
 
-    def _create_due(self, job: Job, now_s: float, now_ms: int) -> None:
-        request = job.request
-        while job.is_open and job.next_occurrence < request.occurrences_count:
-            due_ms = request.due_ms(job.next_occurrence)
-            is_due = due_ms <= now_ms + _EARLY_START_MS
-            if not is_due or not _may_add_occurrence(job):
+    def _open_due(self, job: Job, now_s: float, now_ms: int) -> None:
+        """Open the due occurrences of a job in order, as many as may be."""
+        number = next_occurrence_number(job)
+        while number is not None:
+            due_ms = next_due_ms(job)
+            if due_ms is None or due_ms > now_ms + _EARLY_START_MS:
                 return
-            self._create(job, job.next_occurrence, now_s, now_ms)
+            if job.unopened:
+                job.unopened.popleft()
+            self._create(job, number, now_s, now_ms)
+            number = next_occurrence_number(job)
         self._repeating.pop(job.job_id, None)
 
     def _create(self, job: Job, number: int, now_s: float, now_ms: int) -> None:
@@ -254,18 +259,14 @@
         self._update_ready(occurrence, now_s)
         self._mark_changed(job)
 
-    def _save_checkpoint(self, task: Task, checkpoint: str) -> None:
-        for member in gang_of(task):
-            member.checkpoint = checkpoint
-
     def _mark_done(self, task: Task) -> None:
         for member in gang_of(task):
             if not member.is_done:
                 member.is_done = True
                 member.step.done_count += 1
-                self.ready.pop(member.name, None)
+                drop_ready(self.ready, member)
 
-    def _count_failure(self, run: Run, max_attempts: int) -> None:
+    def _count_failure(self, run: Run, max_attempts: int, now_s: float) -> None:
         """Count a failed attempt of a task, or of its gang as a whole.
 
         The members of a gang share the number of their runs. Several of them
@@ -281,35 +282,35 @@
         exhausted = counted.failures_count >= max_attempts
         job = job_of(task)
         if exhausted and not task.step.request.is_lasting and job.is_open:
-            job.phase = JobPhase.FAILED
+            self._finish(job, JobPhase.FAILED, now_s)
 
-    def _advance_job(self, job: Job, step: Step, now_s: float) -> None:
+    def _advance_job(self, task: Task, now_s: float) -> None:
         """Update the ready tasks after the end of a run, or finish the job."""
-        if job.phase is JobPhase.FAILED:
-            self._finish(job, JobPhase.FAILED, now_s)
-        self._remove_ended(job)
+        job = job_of(task)
+        self._remove_if_over(task.step.occurrence)
         if not job.is_open:
             return
-        self._update_ready(step.occurrence, now_s)
-        total = job.request.occurrences_count
-        all_done = all(found.is_done for found in job.occurrences.values())
-        if all_done and job.next_occurrence >= total:
-            self._finish(job, JobPhase.DONE, now_s)
-
-    def _remove_ended(self, job: Job) -> None:
-        """Remove the occurrences of which nothing runs or may start."""
-        for number, occurrence in tuple(job.occurrences.items()):
-            is_over = occurrence.is_done or not job.is_open
-            if is_over and next(occurrence.live_runs(), None) is None:
-                job.occurrences.pop(number)
+        self._update_ready_after(task, now_s)
+        if next_occurrence_number(job) is None:
+            if all(found.is_done for found in job.occurrences.values()):
+                self._finish(job, JobPhase.DONE, now_s)
+
+    def _remove_if_over(self, occurrence: Occurrence) -> None:
+        """Remove an occurrence if nothing of it runs or may start."""
+        job = occurrence.job
+        is_over = occurrence.is_done or not job.is_open
+        if is_over and not occurrence.runs_count:
+            job.occurrences.pop(occurrence.number, None)
 
     def _finish(self, job: Job, phase: JobPhase, now_s: float) -> None:
         job.phase = phase
         job.finished_s = now_s
+        job.unopened.clear()
         self._repeating.pop(job.job_id, None)
         for task in job.tasks():
-            self.ready.pop(task.name, None)
-        self._remove_ended(job)
+            drop_ready(self.ready, task)
+        for occurrence in tuple(job.occurrences.values()):
+            self._remove_if_over(occurrence)
         self._mark_changed(job, is_urgent=True)
 
     def _update_ready(self, occurrence: Occurrence, now_s: float) -> None:
@@ -318,26 +319,36 @@
             return
         for step in occurrence.steps:
             if not step.is_done and step.is_unblocked:
-                self._add_ready(step, now_s)
+                add_ready(self.ready, step, step.tasks, now_s)
 
-    def _add_ready(self, step: Step, now_s: float) -> None:
-        """Add the waiting tasks of a step; a gang only if all of it waits."""
-        if step.request.is_gang:
-            if not all(task.is_waiting for task in step.tasks):
-                return
-        for task in step.tasks:
-            if task.is_waiting and task.name not in self.ready:
-                if step.ready_since_s is None:
-                    step.ready_since_s = now_s
-                task.ready_since_s = now_s
-                task.away_since_s = now_s
-                self.ready[task.name] = task
+    def _update_ready_after(self, task: Task, now_s: float) -> None:
+        """Add what may start after the end of a run to ``ready``.
+
+        That is its task or gang, and what waited for the end of its step.
+        """
+        step = task.step
+        if step.is_done:
+            self._update_ready(step.occurrence, now_s)
+        elif step.occurrence.is_due and step.is_unblocked:
+            add_ready(self.ready, step, gang_of(task), now_s)
 
     def _mark_changed(self, job: Job, *, is_urgent: bool = False) -> None:
         job.mark_changed(is_urgent=is_urgent)
         self.unstored[job.job_id] = job
 
 
+def surplus_runs_beside(task: Task) -> list[Run]:
+    """Return the live runs that the end of a task's run made surplus."""
+    if not task.is_done:
+        return []
+    return [run for member in gang_of(task) for run in member.runs.values()]
+
+
+def _save_checkpoint(task: Task, checkpoint: str) -> None:
+    for member in gang_of(task):
+        member.checkpoint = checkpoint
+
+
 def _record_progress_rate(run: Run, now_s: float) -> None:
     if run.started_s is not None:
         elapsed_s = max(now_s - run.started_s, _MIN_RUN_S)
@@ -345,12 +356,6 @@
         run.task.step.ended_progress_rates.append(done / elapsed_s)
 
 
-def _may_add_occurrence(job: Job) -> bool:
-    """Whether the open tasks of a job leave room for another occurrence."""
-    open_count = len(job.occurrences) * job.request.tasks_count
-    return open_count < MAX_OPEN_TASKS_COUNT
-
-
 def job_of(task: Task) -> Job:
     """Return the job that a task belongs to."""
     return task.step.occurrence.job
--- a/src/marjoramwharf/scheduling/waiting_tasks.py
+++ b/src/marjoramwharf/scheduling/waiting_tasks.py
@@ -12,6 +12,7 @@
 
 from marjoramwharf.scheduling.job_state import Job, Run, Step, Task
 from marjoramwharf.scheduling.job_table import JobTable, job_of
+from marjoramwharf.scheduling.open_occurrences import next_occurrence_number
 
 # What started within this time has not waited long.
 _LONG_WAIT_S = 3.0
@@ -122,6 +123,6 @@
 def _should_be_active(job: Job, now_s: float) -> bool:
     """Whether an open job has work to do by now."""
     is_known_long = now_s - job.known_since_s > _LONG_WAIT_S
-    has_all = job.next_occurrence >= job.request.occurrences_count
+    has_all = next_occurrence_number(job) is None
     are_due = all(found.is_due for found in job.occurrences.values())
     return job.is_open and is_known_long and has_all and are_due
