Bar late starts of ended runs at a worker's next life

Cause: the owner stopped, at the new incarnation, the runs whose start order had no answer, but forgot the unanswered orders of a run with the run. Change: start orders without an answer are remembered by worker and run for 13 s. At a new incarnation the owner repeats a stop order for those whose runs have ended, until it is answered. Why it works: a worker rejects any run that is not higher than one stopped there, so the late order does nothing.

--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -13,6 +13,7 @@
 
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.end_acknowledgements import EndAcknowledgements
+from marjoramwharf.cells.late_starts import LATE_ORDER_WINDOW_S, RunKey
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
 from marjoramwharf.cells.link_log import (
     log_first_poll,
@@ -27,7 +28,6 @@
     RunReport,
 )
 from marjoramwharf.cells.worker_orders import WorkerOrders
-from marjoramwharf.ids import TaskId
 from marjoramwharf.isolation import run_isolated
 from marjoramwharf.logs import part_logger
 from marjoramwharf.scheduling.fleet import Worker
@@ -36,17 +36,12 @@
 _LOG = part_logger('worker')
 _MS_PER_S = 1_000
 
-# An order without an answer may still be carried out for this long.
-_LATE_ORDER_WINDOW_S = 13.0
-
 # By how much the clock of a worker may be behind a former owner's estimate.
 _FORMER_LEASE_MARGIN_MS = 500
 
 # An unknown run is ordered to stop at most once in this time.
 _UNKNOWN_STOP_INTERVAL_S = 1.0
 
-_RunKey = tuple[TaskId, int]
-
 
 @dataclass(slots=True, eq=False)
 class ReportProcessor:
@@ -62,7 +57,7 @@
     clock: WorkerClock
     orders: WorkerOrders
     acknowledgements: EndAcknowledgements
-    _unknown_stops_s: dict[_RunKey, float] = field(default_factory=dict)
+    _unknown_stops_s: dict[RunKey, float] = field(default_factory=dict)
     _latest_lease_end_ms: int = 0
 
     def process(
@@ -105,6 +100,7 @@
             log_first_poll(
                 self.worker, report, lease_end_ms=self.clock.lease_end_ms
             )
+            self._bar_late_starts(now_s, nursery)
         elif self._is_same_incarnation(report, sent_s):
             self.clock.observe(report.clock_ms, now_s=now_s)
         else:
@@ -133,6 +129,7 @@
             for run in self._unlisted_runs(report):
                 if not _may_be_newer(run, sent_s):
                     self._end_or_stop_lost(run, now_s, nursery)
+            self._bar_late_starts(now_s, nursery)
         self.worker.born_ms = report.born_ms
 
     def _is_same_incarnation(self, report: HoldReport, sent_s: float) -> bool:
@@ -163,7 +160,7 @@
         """
         if not any(_may_start_late(run, now_s) for run in self.worker.runs):
             return 0
-        late_ms = round(_LATE_ORDER_WINDOW_S * _MS_PER_S)
+        late_ms = round(LATE_ORDER_WINDOW_S * _MS_PER_S)
         longest_ms = late_ms + self.context.max_hold_ms
         return max(0, min(longest_ms, self._latest_lease_end_ms - clock_ms))
 
@@ -187,6 +184,18 @@
         else:
             self.owner.end_run(run, RunEnd.VANISHED, run.checkpoint)
 
+    def _bar_late_starts(self, now_s: float, nursery: trio.Nursery) -> None:
+        """Have the worker refuse late orders for runs that have ended.
+
+        It has not heard of them if they were at a former incarnation.
+        """
+        late_starts = self.context.late_starts
+        for run in late_starts.runs_at(self.worker.worker_id, now_s=now_s):
+            if self.owner.find_run(*run) is None:
+                nursery.start_soon(
+                    run_isolated, 'stop order', self.orders.bar_late_start, run
+                )
+
     def _process_ends(self, report: HoldReport) -> None:
         for ended in report.ended:
             self._process_end(ended, report.born_ms)
@@ -279,7 +288,7 @@
     """
     if run.phase is RunPhase.ORDERED:
         return True
-    is_recent = now_s - run.planned_s < _LATE_ORDER_WINDOW_S
+    is_recent = now_s - run.planned_s < LATE_ORDER_WINDOW_S
     never_started = run.phase is RunPhase.STOPPING and run.started_s is None
     return is_recent and (run.is_start_unconfirmed or never_started)
 
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -10,6 +10,7 @@
 import trio
 
 from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.late_starts import RunKey
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
 from marjoramwharf.cells.link_log import log_other_clock
 from marjoramwharf.cells.worker_clock import WorkerClock, is_other_clock
@@ -126,12 +127,13 @@
         run.phase = RunPhase.ORDERED
         for _ in range(_START_ATTEMPTS_COUNT):
             attempt = await self._attempt_start(run)
+            answer = attempt.answer
+            is_unanswered = answer.outcome is OrderOutcome.UNKNOWN
+            run.is_start_unconfirmed |= is_unanswered
             if run.phase is not RunPhase.ORDERED:
                 return
-            answer = attempt.answer
-            if answer.outcome is not OrderOutcome.UNKNOWN:
+            if not is_unanswered:
                 break
-            run.is_start_unconfirmed = True
         self.context.counters.starts[answer.outcome] += 1
         if answer.outcome in _STARTED_OUTCOMES:
             self.owner.on_run_started(
@@ -165,6 +167,23 @@
         """Send the stop order of a run that the cell doesn't have, once."""
         await self._send_stop(StopOrder(task, number, self.context.fence))
 
+    async def bar_late_start(self, run: RunKey) -> None:
+        """Repeat the stop order of a run that has ended, while it may start.
+
+        The incarnation that takes it refuses late start orders of the run.
+        """
+        task, number = run
+        born_ms = self.worker.born_ms
+        order = StopOrder(task, number, self.context.fence)
+        while self._may_start_late(run) and self.worker.born_ms == born_ms:
+            answer = await self._send_stop(order)
+            if answer.outcome is OrderOutcome.FENCED:
+                self.owner.on_superseded()
+                return
+            if answer.outcome in _STOP_OUTCOMES:
+                return
+            await trio.sleep(_STOP_RETRY_PAUSE_S)
+
     async def pace(self, run: Run, percent: int) -> None:
         """Send a pace order once; it sets a share of the run's full speed."""
         answer = await self._send_pace(
@@ -175,6 +194,11 @@
             # next poll decides again.
             run.pace_percent = 100
 
+    def _may_start_late(self, run: RunKey) -> bool:
+        return self.context.late_starts.may_start(
+            self.worker.worker_id, run, now_s=boot_s()
+        )
+
     async def _attempt_start(self, run: Run) -> _StartAttempt:
         """Send the start order of a run once it is the run's turn.
 
@@ -269,10 +293,21 @@
             checkpoint=run.task.checkpoint,
             ticket=run.ticket,
         )
+        answer = await self._call_start(order, now_s)
+        self._check_clock(order, answer, waited_s=boot_s() - now_s)
+        return answer
+
+    async def _call_start(self, order: StartOrder, now_s: float) -> OrderAnswer:
+        """Call the worker; without an answer, the order may come late."""
+        worker_id = self.worker.worker_id
+        late_starts = self.context.late_starts
+        run = (order.task, order.run)
+        former_s = late_starts.record_sent(worker_id, run, now_s=now_s)
         answer = await self.context.worker_client.start(
             self.incarnation, order, timeout_s=_ORDER_TIMEOUT_S
         )
-        self._check_clock(order, answer, waited_s=boot_s() - now_s)
+        if answer.outcome is not OrderOutcome.UNKNOWN:
+            late_starts.record_answered(worker_id, run, former_s=former_s)
         return answer
 
     def _check_clock(
--- a/tests/cells/mutants.py
+++ b/tests/cells/mutants.py
@@ -247,6 +247,9 @@
         f'{ReportProcessor.__module__}._may_start_late',
         _may_start_late_if_unanswered,
     ),
+    'a late order may start a run that has ended': lambda: patch.object(
+        ReportProcessor, '_bar_late_starts', _never
+    ),
     'all leases have ended before runs are given up': lambda: patch.object(
         WorkerClock, 'has_lapsed', _always
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -26,6 +26,7 @@
     'test_many_workers',
     'test_next_incarnation',
     'test_restarted_workers',
+    'test_late_starts',
     'test_connection_use',
     'test_evacuations',
     'test_unreachable_from_owner',
