Poll idle workers of a large fleet less often

Callers saw jobs start late at 300 machines, without any fault: half within 1.4 to 1.9 s, 95 of 100 within 8.7 to 8.9 s, where the shortest objective is 0.3 s.

Cause: each worker without runs was polled every 2 s, whatever the size of the fleet. With 3,000 workers these polls took 0.3 to 0.9 of the owner's processor in each second. With the rest of its work its queue was never empty, so that a round of the event loop handled up to several hundred answers and took 0.3 to 0.5 s, and each step on the way of a job waited for a round or two.

From 1,000 workers on, one without runs is now left alone for up to 3 s (and a quarter) after each poll; a run that is ordered there, or a listing by another incarnation, ends the pause, and a worker that the list lacks is polled as before. Nothing changes with fewer workers.

Evidence: test_polls_of_many_idle_workers failed on the code found; the two mutants are caught.

--- a/src/marjoramwharf/cells/link_context.py
+++ b/src/marjoramwharf/cells/link_context.py
@@ -7,6 +7,7 @@
 
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.end_acknowledgements import EndAcknowledgements
+from marjoramwharf.cells.idle_polls import IdlePolls
 from marjoramwharf.cells.poll_admission import PollAdmission
 from marjoramwharf.cells.worker_messages import WorkerClient
 from marjoramwharf.ids import TaskId, WorkerId
@@ -56,7 +57,8 @@
     entries, and ``max_hold_ms`` the longest one that a worker grants.
     ``stop_ms`` is the longest time that a worker takes to stop a run. The
     ``waiting_acknowledgements`` are those that wait for the store. Polls on new
-    connections wait for ``admission``.
+    connections wait for ``admission``, and those of workers without runs are
+    spread by ``idle_polls``.
     """
 
     worker_client: WorkerClient
@@ -69,3 +71,4 @@
         default_factory=set, repr=False
     )
     admission: PollAdmission = field(default_factory=PollAdmission)
+    idle_polls: IdlePolls = field(default_factory=IdlePolls)
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from marjoramwharf.cells.auto_reset_event import AutoResetEvent
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.end_acknowledgements import EndAcknowledgements
 from marjoramwharf.cells.link_context import LinkContext, LinkOwner
@@ -87,6 +88,7 @@
     _reached_address: WorkerAddress | None = None
     _replaced_by: WorkerId | None = None
     _poll_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    _wake_event: AutoResetEvent = field(default_factory=AutoResetEvent)
     _reconnect_pauses: Backoff = field(
         default_factory=lambda: Backoff(
             initial_s=_MIN_RECONNECT_PAUSE_S, max_s=_MAX_RECONNECT_PAUSE_S
@@ -167,6 +169,19 @@
         self._record_reached(address)
         self.owner.on_polled(worker_id)
         await self.acknowledgements.wait(timeout_s=_ACKNOWLEDGEMENT_WAIT_S)
+        await self._leave_alone()
+
+    async def _leave_alone(self) -> None:
+        """Pause the polls of a worker without runs, in a large fleet.
+
+        What the list doesn't show is told by polls alone, so such a worker is
+        polled without a pause.
+        """
+        pause_s = self.context.idle_polls.pause_s(
+            wait_s=_IDLE_WAIT_MS / _MS_PER_S
+        )
+        if pause_s and self.worker.is_listed and not self.worker.runs:
+            await self._wake_event.wait(timeout_s=pause_s)
 
     async def _fetch_report(self) -> _FetchedReport:
         """Poll the known incarnation, or find out which one is there.
@@ -226,6 +241,11 @@
         The next one finds out which incarnation is there.
         """
         self._poll_scope.cancel()
+        self.wake()
+
+    def wake(self) -> None:
+        """End a pause between two polls, since the worker gets a run."""
+        self._wake_event.set()
 
     def _unreachable_pause_s(self) -> float:
         """Return the pause after a poll that the worker didn't accept.
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -143,6 +143,7 @@
         link = self.links.get(run.worker_id)
         if link is None or self._nursery is None:
             return False
+        link.wake()
         self._nursery.start_soon(
             run_isolated, 'start order', link.orders.start, run
         )
@@ -229,6 +230,7 @@
             silent_s=round(now_s - worker.reported_at_s, 3),
         )
         self.links.pop(worker_id).scope.cancel()
+        self.context.idle_polls.workers_count = len(self.links)
         self.fleet.workers.pop(worker_id)
         self._pace_controllers.pop(worker_id)
         self._learners.pop(worker_id)
@@ -288,6 +290,7 @@
             worker.add(run)
         link = WorkerLink(worker=worker, owner=self.owner, context=self.context)
         self.links[worker_id] = link
+        self.context.idle_polls.workers_count = len(self.links)
         self._pace_controllers[worker_id] = PaceController(
             worker,
             self.model,
--- a/tests/cells/worker_list_mutants.py
+++ b/tests/cells/worker_list_mutants.py
@@ -9,8 +9,10 @@
 from unittest.mock import patch
 
 from marjoramwharf.cells.cell import Cell
+from marjoramwharf.cells.idle_polls import IdlePolls
 from marjoramwharf.cells.poll_admission import PollAdmission
 from marjoramwharf.cells.records import roster_key
+from marjoramwharf.cells.worker_link import WorkerLink
 from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.cells.worker_roster import WorkerRoster
 from marjoramwharf.ids import WorkerId
@@ -29,6 +31,10 @@
     return False
 
 
+def _no_pause(*_args: object, **_named: object) -> float:
+    return 0
+
+
 def _do_nothing(*_args: object, **_named: object) -> None:
     """Leave the precaution out."""
 
@@ -78,6 +84,12 @@
     'workers with runs are contacted first': lambda: patch.object(
         PollAdmission, 'wait_turn', _wait_turn_in_order
     ),
+    'few polls go to workers without runs': lambda: patch.object(
+        IdlePolls, 'pause_s', _no_pause
+    ),
+    'a run ends the pause between polls': lambda: patch.object(
+        WorkerLink, 'wake', _do_nothing
+    ),
     'the runs of a new owner are gone through once': lambda: patch.object(
         WorkerRegistry, '_runs_placed_at', _search_runs
     ),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -24,6 +24,7 @@
     'test_late_answers',
     'test_malformed_records',
     'test_many_workers',
+    'test_idle_polls',
     'test_next_incarnation',
     'test_restarted_workers',
     'test_connection_use',
