Try the other workers before one that has refused a start

What callers saw: an accepted job that never starts, though a worker that answers has room.

Cause: a refusal blocked its worker for 0.1 s or 0.5 s and was then forgotten. The planner takes the cheapest worker, so a task went round the cheap ones that refuse it as soon as a round took longer than the block.

The change: a worker that refused is the last choice for 20 s or until it accepts a start, the latest refusal last. Since the order is that of the refusals, each worker is tried once before any is tried again, however long a round takes up to 20 s; and nothing is excluded, so no task waits for it.

--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -42,6 +42,10 @@
 _UNHEALTHY_WORKER_PAUSE_S = 0.5
 _FULL_WORKER_PAUSE_S = 0.1
 
+# A worker that refused a start is chosen after all others for this long, or
+# until it accepts one. Many others may have to be tried meanwhile.
+_AVOIDED_S = 20.0
+
 # Another order may take a connection that was opened for one.
 _CONNECTIONS_PER_ORDER_COUNT = 3
 
@@ -134,6 +138,7 @@
             run.is_start_unconfirmed = True
         self.context.counters.starts[answer.outcome] += 1
         if answer.outcome in _STARTED_OUTCOMES:
+            self.worker.avoided_until_s = 0
             self.owner.on_run_started(
                 run, started_s=self._answered_s(answer, attempt.sent_s)
             )
@@ -326,6 +331,7 @@
             outcome=outcome.value,
         )
         now_s = boot_s()
+        self.worker.avoided_until_s = now_s + _AVOIDED_S
         if outcome is OrderOutcome.NO_ROOM:
             self.worker.blocked_until_s = now_s + _FULL_WORKER_PAUSE_S
         else:
--- a/src/marjoramwharf/scheduling/candidates.py
+++ b/src/marjoramwharf/scheduling/candidates.py
@@ -19,6 +19,11 @@
 _FAILURE_COST = 1.5  # for each recent failure there (decayed)
 _SUSPECT_COST = 3.0  # a run recently hung or was slow there
 
+# For each second for which a worker is still avoided. Two refusals a tenth of a
+# second apart have to outweigh all other costs, or a task goes round the cheap
+# workers that refuse it and never gets to another one.
+_AVOIDED_COST_PER_S = 100.0
+
 # In a fleet with more workers, a sample of this size is searched first.
 _SAMPLE_SIZE = 512
 
@@ -109,6 +114,7 @@
 
 def _trouble_cost(worker: Worker, now_s: float) -> float:
     cost = _FAILURE_COST * worker.failure_weight_at(now_s)
+    cost += _AVOIDED_COST_PER_S * max(0, worker.avoided_until_s - now_s)
     return cost + _SUSPECT_COST if worker.suspect_until_s > now_s else cost
 
 
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -88,7 +88,9 @@
     ``is_reachable`` tells whether the latest poll of the worker was answered,
     ``reported_at_s`` when its latest report was made, and ``born_ms`` which
     incarnation answered (0: none yet). No run is placed there before
-    ``blocked_until_s``, and preferably none before ``suspect_until_s``.
+    ``blocked_until_s``, and preferably none before ``suspect_until_s``. One that
+    has refused a start is the last choice before ``avoided_until_s``, and the
+    later that is, the later it is chosen, so that each of several is tried.
     ``failure_weight`` and ``success_weight`` are the numbers of runs that
     failed and that were done there, decayed over time. A draining worker may
     be gone from ``leaves_at_s`` on. While the worker ``is_filling_paused``, its
@@ -111,6 +113,7 @@
     born_ms: int = 0
     blocked_until_s: float = 0
     suspect_until_s: float = 0
+    avoided_until_s: float = 0
     failure_weight: float = 0
     success_weight: float = 0
     outcome_recorded_at_s: float = 0
