Count a lasting task as away until a worker has begun it

What callers saw: a lasting task that waits for room beside short work starts 4 s later for each start of it that a worker refuses.

Cause: once it has been away for 4 s, a lasting task goes first. A run that vanished set that time back to when it was planned, also if it never began.

Evidence: the new test failed before (0 runs of the lasting task instead of 1). The test of a run that had begun stays as it was and passes.

The change: a run that no worker is known to have begun leaves the time alone.

--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -314,6 +314,7 @@
     task.has_begun = bool(record.last_run)
     # What was before this owner is not in its times.
     task.ready_since_s = now_s
+    task.away_since_s = now_s
     task.step.ready_since_s = now_s
     for run_record in record.runs:
         task.runs[run_record.number] = Run(
--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -163,6 +163,7 @@
     ) -> None:
         """Record the end of a run and its checkpoint, and update its job."""
         task = run.task
+        waited_since_s = task.away_since_s
         task.runs.pop(run.number, None)
         run.phase = RunPhase.ENDED
         job = job_of(task)
@@ -180,7 +181,7 @@
         self._mark_changed(job)
         self._advance_job(job, task.step, now_s)
         if how is RunEnd.VANISHED:
-            task.away_since_s = max(run.planned_s, run.progress_read_s)
+            task.away_since_s = _last_at_work_s(run, waited_since_s)
 
     def cancel(self, job_id: JobId, *, now_s: float) -> Job | None:
         """Cancel an open job and return it; the caller has to stop its runs."""
@@ -329,6 +330,16 @@
         self.unstored[job.job_id] = job
 
 
+def _last_at_work_s(run: Run, waited_since_s: float) -> float:
+    """Return when a run that vanished, or another one before, was at work.
+
+    A run that no worker is known to have begun doesn't interrupt the wait.
+    """
+    if run.started_s is None:
+        return waited_since_s
+    return max(run.planned_s, run.progress_read_s)
+
+
 def _record_progress_rate(run: Run, now_s: float) -> None:
     if run.started_s is not None:
         elapsed_s = max(now_s - run.started_s, _MIN_RUN_S)
--- a/tests/scheduling/test_waiting_steps.py
+++ b/tests/scheduling/test_waiting_steps.py
@@ -48,13 +48,7 @@
         lasting = self._add('last', 1, cpu_millicores=4_000, is_lasting=True)
         run = start_run(self.job_table, first_task(lasting), lost)
         self._add('short', 1, cpu_millicores=4_000, now_s=_WAITED_S)
-        self.job_table.end_run(
-            run,
-            RunEnd.VANISHED,
-            checkpoint='',
-            max_attempts=1,
-            now_s=_WAITED_S,
-        )
+        self._end_vanished(run)
         runs = self._plan(make_fleet(left), now_s=_WAITED_S)
         self.assertEqual(1, _count(runs, lasting))
 
@@ -68,15 +62,27 @@
         )
         left.remove(run)
         short = self._add('short', 1, cpu_millicores=4_000, now_s=_WAITED_S)
-        self.job_table.end_run(
-            run,
-            RunEnd.VANISHED,
-            checkpoint='',
-            max_attempts=1,
+        self._end_vanished(run)
+        runs = self._plan(make_fleet(left), now_s=_WAITED_S)
+        self.assertEqual(1, _count(runs, short))
+
+    def test_lasting_task_that_no_worker_has_begun(self) -> None:
+        """Guards against a wait that begins anew with each refused start."""
+        left = make_worker('w2')
+        self._fill(left, left_millicores=4_000)
+        lasting = self._add('last', 1, cpu_millicores=4_000, is_lasting=True)
+        run = self.job_table.plan_run(
+            first_task(lasting),
+            worker_id=left.worker_id,
+            born_ms=0,
+            number=1,
             now_s=_WAITED_S,
         )
+        short = self._add('short', 1, cpu_millicores=4_000, now_s=_WAITED_S)
+        self._end_vanished(run)
         runs = self._plan(make_fleet(left), now_s=_WAITED_S)
-        self.assertEqual(1, _count(runs, short))
+        self.assertEqual(1, _count(runs, lasting))
+        self.assertEqual(0, _count(runs, short))
 
     def test_filling_step_beside_a_busy_service(self) -> None:
         """Guards against a filling task that waits for other services."""
@@ -163,6 +169,15 @@
             now_s=now_s,
         )
 
+    def _end_vanished(self, run: Run) -> None:
+        self.job_table.end_run(
+            run,
+            RunEnd.VANISHED,
+            checkpoint='',
+            max_attempts=1,
+            now_s=_WAITED_S,
+        )
+
     def _fill(
         self, worker: Worker, *, left_millicores: int, memory_mb: int = 0
     ) -> None:
