Date short work by the owner's boot clock when it arrives

Cause: room is held back for short work as of the last 10 s. Arrivals were dated by the clock of the entry that accepted the job and forgotten from the oldest on, so one from the future kept all those behind it, without a bound; and a new owner counted jobs of long ago behind a recent one.

Four calls in test_preemption handed in jobs at time 0 that were accepted 9 s to 299 s later; they hand them in at that time now, and what they check is unchanged.

The change: an arrival counts from when the owner learned of it, one that a new owner reads by its age, and not at all if it is too old.

--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -31,6 +31,7 @@
 MAX_OPEN_TASKS_COUNT = 20_000
 
 _FULL_PERCENT = 100
+_MS_PER_S = 1_000
 _MIN_RUN_S = 0.01
 
 
@@ -58,7 +59,7 @@
             return present
         job = Job(request, known_since_s=now_s)
         self.jobs[job.job_id] = job
-        self.short_work.record_job(request)
+        self.short_work.record_job(request, arrived_s=now_s, now_s=now_s)
         if request.repeat_count:
             self._repeating[job.job_id] = job
         else:
@@ -69,7 +70,10 @@
     def add_restored(self, job: Job, *, now_s: float, now_ms: int) -> None:
         """Add a job whose state was read from the store."""
         self.jobs[job.job_id] = job
-        self.short_work.record_job(job.request)
+        age_s = max(0, now_ms - job.request.accepted_at_ms) / _MS_PER_S
+        self.short_work.record_job(
+            job.request, arrived_s=now_s - age_s, now_s=now_s
+        )
         if not job.is_open:
             return
         if job.request.repeat_count:
--- a/src/marjoramwharf/scheduling/planner.py
+++ b/src/marjoramwharf/scheduling/planner.py
@@ -106,7 +106,7 @@
         unplaceable = UnplaceableSteps()
         pool = CandidatePool(self.fleet, now_s)
         mean_millicores = self._mean_serving_millicores()
-        room = LastingRoom(self.job_table.short_work, now_ms)
+        room = LastingRoom(self.job_table.short_work, now_s)
         for rank, group in self._ranked_groups(queues, now_s, now_ms):
             first = group[0]
             service = queue_of(first, queues).service
--- a/src/marjoramwharf/scheduling/short_work.py
+++ b/src/marjoramwharf/scheduling/short_work.py
@@ -3,13 +3,14 @@
 The load answered: lasting tasks reserve most of the CPU and keep it for a
 minute, while urgent jobs of a second or two arrive all the time and need whole
 pieces of it at once. A lasting task that starts a little later loses little of
-its life; a short job that finds no room is late.
+its life; a short job that finds no room is late. Times are those of the boot clock:
+the entry that accepted a job may have a clock of its own.
 
     >>> demand = ShortWorkDemand()
     >>> step = StepRequest(4, cpu_millicores=2_000, estimate_ms=1_000)
     >>> job = JobRequest('j', 'q', 's', '', (step,), accepted_at_ms=0)
-    >>> demand.record_job(job)
-    >>> demand.held_millicores(now_ms=1_000)
+    >>> demand.record_job(job, arrived_s=0, now_s=0)
+    >>> demand.held_millicores(now_s=1)
     8800.0
 """
 
@@ -25,7 +26,9 @@
 from marjoramwharf.scheduling.workload import JobRequest, StepRequest
 
 # Arrivals count for this long.
-_WINDOW_MS = 10_000
+_WINDOW_S = 10.0
+
+_MS_PER_S = 1_000
 
 _Workers = Callable[[], Iterable[Worker]]
 
@@ -33,7 +36,7 @@
 class _Arrival(NamedTuple):
     """A short step that arrived, with its size in millicores."""
 
-    at_ms: int
+    arrived_s: float
     task_millicores: int
     step_millicores: int
     run_ms: int
@@ -49,26 +52,27 @@
         """Return the number of arrivals that are kept."""
         return len(self._arrivals)
 
-    def record_job(self, request: JobRequest) -> None:
-        """Add the steps of a job, as of the time of its acceptance.
-
-        Arrivals that are too old by then are forgotten.
-        """
-        self._forget_before(request.accepted_at_ms - _WINDOW_MS)
+    def record_job(
+        self, request: JobRequest, *, arrived_s: float, now_s: float
+    ) -> None:
+        """Add the steps of a job that arrived at a time, unless it's too old."""
+        self._forget_before(now_s - _WINDOW_S)
+        if arrived_s < now_s - _WINDOW_S:
+            return
         for step in request.steps:
             if step.cpu_millicores and not (step.is_lasting or step.fills):
                 self._arrivals.append(
                     _Arrival(
-                        request.accepted_at_ms,
+                        arrived_s,
                         step.cpu_millicores,
                         step.count * step.cpu_millicores,
                         step.estimate_ms,
                     )
                 )
 
-    def held_millicores(self, now_ms: int) -> float:
+    def held_millicores(self, now_s: float) -> float:
         """Return the CPU to hold back: the mean demand and one wide step."""
-        self._forget_before(now_ms - _WINDOW_MS)
+        self._forget_before(now_s - _WINDOW_S)
         if not self._arrivals:
             return 0
         work = sum(
@@ -76,16 +80,16 @@
             for arrival in self._arrivals
         )
         widest = max(arrival.step_millicores for arrival in self._arrivals)
-        return work / _WINDOW_MS + widest
+        return work / (_WINDOW_S * _MS_PER_S) + widest
 
     def piece_millicores(self) -> int:
         """Return the CPU that three of four recent tasks fit in."""
         sizes = sorted(arrival.task_millicores for arrival in self._arrivals)
         return sizes[len(sizes) * 3 // 4]
 
-    def _forget_before(self, at_ms: int) -> None:
+    def _forget_before(self, at_s: float) -> None:
         """Forget the oldest arrivals; they come nearly in order of time."""
-        while self._arrivals and self._arrivals[0].at_ms < at_ms:
+        while self._arrivals and self._arrivals[0].arrived_s < at_s:
             self._arrivals.popleft()
 
 
@@ -98,7 +102,7 @@
     """
 
     demand: ShortWorkDemand
-    now_ms: int
+    now_s: float
     _left_millicores: dict[str, float] = field(default_factory=dict)
 
     def fitting_count(
@@ -127,7 +131,7 @@
         What short tasks use now counts as held for them already. Only pieces
         that most recent tasks fit in count as free.
         """
-        held = self.demand.held_millicores(self.now_ms)
+        held = self.demand.held_millicores(self.now_s)
         if not held:
             return math.inf
         piece = self.demand.piece_millicores()
--- a/tests/scheduling/test_preemption.py
+++ b/tests/scheduling/test_preemption.py
@@ -94,7 +94,7 @@
         """
         jobs = self._fill(may_miss=1)
         self._end(next(jobs[0].live_runs()), now_s=9)
-        add_job(self.job_table, 'short', _SHORT, accepted_at_ms=9_000)
+        add_job(self.job_table, 'short', _SHORT, accepted_at_ms=9_000, now_s=9)
         for run in self._plan(9):
             self.assertFalse(run.step.is_lasting)
             self._end(run, now_s=9.5, how=RunEnd.DONE)
@@ -106,8 +106,14 @@
         """Guards against arrivals that are kept for good."""
         for number in range(300):
             name = f'short{number}'
-            add_job(self.job_table, name, _SHORT, accepted_at_ms=number * 1_000)
-        held = self.job_table.short_work.held_millicores(299_000)
+            add_job(
+                self.job_table,
+                name,
+                _SHORT,
+                accepted_at_ms=number * 1_000,
+                now_s=number,
+            )
+        held = self.job_table.short_work.held_millicores(299)
         self.assertEqual(11 * 1_600 + 16_000, held)
         self.assertLess(len(self.job_table.short_work), 20)
 
@@ -120,8 +126,8 @@
             self._end(run, now_s=9)
         small = make_step(3, estimate_ms=100)
         large = make_step(1, cpu_millicores=32_000, estimate_ms=9_000)
-        add_job(self.job_table, 'small', small, accepted_at_ms=9_000)
-        add_job(self.job_table, 'large', large, accepted_at_ms=9_000)
+        add_job(self.job_table, 'small', small, accepted_at_ms=9_000, now_s=9)
+        add_job(self.job_table, 'large', large, accepted_at_ms=9_000, now_s=9)
         names = {run.task.name for run in self._plan(9)}
         self.assertIn('large.0.0.0', names)
 
