--- a/src/marjoramwharf/scheduling/job_table.py
+++ b/src/marjoramwharf/scheduling/job_table.py
@@ -36,6 +36,7 @@
 _EARLY_START_MS = 0
 
 _FULL_PERCENT = 100
+_MS_PER_S = 1_000
 _MIN_RUN_S = 0.01
 
 
@@ -63,7 +64,7 @@
             return present
         job = Job(request, known_since_s=now_s)
         self.jobs[job.job_id] = job
-        self.short_work.record_job(request)
+        self.short_work.record_job(request, arrived_s=now_s, now_s=now_s)
         if request.repeat_count:
             self._repeating[job.job_id] = job
         else:
@@ -74,7 +75,10 @@
     def add_restored(self, job: Job, *, now_s: float, now_ms: int) -> None:
         """Add a job whose state was read from the store."""
         self.jobs[job.job_id] = job
-        self.short_work.record_job(job.request)
+        age_s = max(0, now_ms - job.request.accepted_at_ms) / _MS_PER_S
+        self.short_work.record_job(
+            job.request, arrived_s=now_s - age_s, now_s=now_s
+        )
         if not job.is_open:
             return
         if job.request.repeat_count:
@@ -165,6 +169,7 @@
     ) -> None:
         """Record the end of a run and its checkpoint, and update its job."""
         task = run.task
+        waited_since_s = task.away_since_s
         task.remove_run(run)
         run.phase = RunPhase.ENDED
         job = job_of(task)
@@ -182,7 +187,7 @@
         self._mark_changed(job)
         self._advance_job(task, now_s)
         if how is RunEnd.VANISHED:
-            task.away_since_s = max(run.planned_s, run.progress_read_s)
+            task.away_since_s = _last_at_work_s(run, waited_since_s)
 
     def cancel(self, job_id: JobId, *, now_s: float) -> Job | None:
         """Cancel an open job and return it; the caller has to stop its runs."""
@@ -349,6 +354,16 @@
         member.checkpoint = checkpoint
 
 
+def _last_at_work_s(run: Run, waited_since_s: float) -> float:
+    """Return when a run that vanished, or another one before, was at work.
+
+    A run that no worker is known to have begun doesn't interrupt the wait.
+    """
+    if run.started_s is None:
+        return waited_since_s
+    return max(run.planned_s, run.progress_read_s)
+
+
 def _record_progress_rate(run: Run, now_s: float) -> None:
     if run.started_s is not None:
         elapsed_s = max(now_s - run.started_s, _MIN_RUN_S)
