Leave a cell to the entries that are far faster

Its delay of 0.15 s is less than the spread of what entries notice.

An entry that is less than half as fast as another one now campaigns 2.5 s after it, and an owner that is outclassed hands over while a faster entry answers. The owner stores the speed of the fastest entry beside its record, so that all know it right after a start. Among equal entries nothing changes, and a site with small entries only still has an owner.

--- a/src/marjoramwharf/cells/owner_view.py
+++ b/src/marjoramwharf/cells/owner_view.py
@@ -19,8 +19,10 @@
 from marjoramwharf.cells.records import (
     CellId,
     EntryRecord,
+    FastestRecord,
     LapsingRecord,
     decode,
+    is_fastest_key,
     is_giving_way_key,
     is_lapsing_key,
     parse_owner_key,
@@ -55,13 +57,15 @@
     refuses connections; this entry follows no further hint then.
     ``is_loaded`` is true once the records have been read. ``lapsing`` follows
     the records that owners store beside theirs, and ``succession`` which owner
-    came before which.
+    came before which. ``fastest`` holds the speed in cores of the fastest entry
+    that the latest owner knew.
     """
 
     owners: dict[CellId, CurrentOwner] = field(default_factory=dict)
     ended_revisions: dict[CellId, int] = field(default_factory=dict)
     is_loaded: bool = False
     is_misled: bool = False
+    fastest: dict[CellId, float] = field(default_factory=dict)
     lapsing: LapsingView = field(default_factory=LapsingView)
     succession: OwnerSuccession = field(default_factory=OwnerSuccession)
     _ended_processes: dict[str, int] = field(default_factory=dict)
@@ -73,6 +77,7 @@
         """Apply watch events of the owners' records."""
         if batch.restarted:
             self.owners.clear()
+            self.fastest.clear()
             self.succession.keep_only(
                 event.stored.mod_revision
                 for event in batch.events
@@ -124,6 +129,9 @@
         if is_giving_way_key(event.key):
             self._count_giving_way(event)
             return
+        if is_fastest_key(event.key):
+            self._apply_fastest(event)
+            return
         cell = parse_owner_key(event.key)
         self.ended_revisions.pop(cell, None)
         if event.stored is None:
@@ -143,6 +151,14 @@
             record = decode(event.stored.body, LapsingRecord, key=event.key)
             self.lapsing.observe(cell, record, now_s=boot_s())
 
+    def _apply_fastest(self, event: StoreEvent) -> None:
+        """Follow the speed of the fastest entry; raises ``JournalDamaged``."""
+        cell = parse_owner_related_key(event.key)
+        self.fastest.pop(cell, None)
+        if event.stored is not None:
+            record = decode(event.stored.body, FastestRecord, key=event.key)
+            self.fastest[cell] = record.cpu_share
+
     def _detect_living(self, owner: CurrentOwner) -> None:
         """Detect a record of a process that appeared to have ended before."""
         process = owner.record.secret
--- a/src/marjoramwharf/cells/ownership.py
+++ b/src/marjoramwharf/cells/ownership.py
@@ -16,6 +16,7 @@
 from msgspec import structs
 
 from marjoramwharf.cells.clocks import boot_s
+from marjoramwharf.cells.entry_speed import is_outclassed
 from marjoramwharf.cells.owner_view import OwnerView
 from marjoramwharf.cells.records import (
     CellId,
@@ -50,8 +51,13 @@
 # becomes the owner; scaled by the missing share of the core.
 _SLOW_INSTANCE_DELAY_S = 0.3
 
+# Leaves the cell to entries that are far faster than this one. They may all be
+# late: they notice the end of the owner, or that the store is back, at times
+# of their own, and may not have read yet what they need to plan.
+_OUTCLASSED_DELAY_S = 2.5
+
 # Delays the write of an entry that could not plan, until it can. It is longer
-# than the other delays.
+# than the delays by speed, but for that of an outclassed entry.
 _UNPREPARED_DELAY_S = 1.0
 _RETRY_PAUSE_S = 0.2
 
@@ -196,8 +202,11 @@
         """Return how long to leave the cell to other entries."""
         jitter_s = random.uniform(0, _CAMPAIGN_JITTER_S)
         slowness = max(0, 1 - self.cpu_share)
+        slowness_s = _SLOW_INSTANCE_DELAY_S * slowness
+        if is_outclassed(self.cpu_share, self.view.fastest.get(self.cell, 0)):
+            slowness_s += _OUTCLASSED_DELAY_S
         giving_way_s = max(0, self._gives_way_until_s - now_s)
-        return jitter_s + _SLOW_INSTANCE_DELAY_S * slowness + giving_way_s
+        return jitter_s + slowness_s + giving_way_s
 
     async def _acquire(self, replaced_revision: int) -> Tenure | None:
         """Write the owner record; returns ``None`` unless it is written."""
--- a/src/marjoramwharf/cells/records.py
+++ b/src/marjoramwharf/cells/records.py
@@ -33,6 +33,7 @@
 
 _LAPSING_SUFFIX = '/lapsing'
 _GIVING_WAY_SUFFIX = '/giving-way'
+_FASTEST_SUFFIX = '/fastest'
 
 _INCARNATION_LENGTH = 8
 
@@ -59,6 +60,12 @@
         return incarnation_of(self.secret)
 
 
+class FastestRecord(Struct, frozen=True, array_like=True):
+    """The speed in cores of the fastest entry that an owner has known."""
+
+    cpu_share: Ratio
+
+
 class RunRecord(Struct, frozen=True, array_like=True):
     """A run that has not ended; ``born_ms`` is its worker's incarnation."""
 
@@ -178,6 +185,16 @@
     return key.endswith(_GIVING_WAY_SUFFIX)
 
 
+def fastest_key(cell: CellId) -> str:
+    """Key of the record of the fastest entry's speed."""
+    return f'{owner_key(cell)}{_FASTEST_SUFFIX}'
+
+
+def is_fastest_key(key: str) -> bool:
+    """Whether a key next to the owners' keys is one of ``fastest_key``."""
+    return key.endswith(_FASTEST_SUFFIX)
+
+
 def entry_key(slot: int) -> str:
     """Key of the leased record of an entry."""
     return f'{ENTRIES_PREFIX}{slot}'
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -31,6 +31,7 @@
     incarnation_of,
 )
 from marjoramwharf.cells.retention import retention_s
+from marjoramwharf.cells.stronger_entries import StrongerEntries
 from marjoramwharf.cells.tenure_end import (
     TENURE_END_METHOD,
     answer_tenure_end,
@@ -96,6 +97,9 @@
 # For how long an owner whose own lease has expired still extends those of runs.
 _HOLD_AFTER_EXPIRY_S = 1.2
 
+# How long an owner that gives way to a faster entry waits for its last writes.
+_HAND_OVER_TIMEOUT_S = 1.0
+
 # How long the watch of the owners waits for a change.
 _OWNERS_WAIT_MS = 2_000
 
@@ -294,11 +298,37 @@
                 nursery.start_soon(
                     run_isolated, 'former owner', former_owner.run
                 )
+                nursery.start_soon(
+                    run_isolated,
+                    'stronger entries',
+                    self._stronger_entries(tenure, cell).run,
+                )
                 await cell.run()
                 nursery.cancel_scope.cancel()
         finally:
             self.cell = None
 
+    def _stronger_entries(self, tenure: Tenure, cell: Cell) -> StrongerEntries:
+        async def hand_over() -> None:
+            with trio.move_on_after(_HAND_OVER_TIMEOUT_S):
+                await cell.hand_over()
+            self.campaign.give_way(now_s=boot_s())
+
+        return StrongerEntries(
+            store=self.store,
+            cell=tenure.cell,
+            ownership_guard=tenure.guard,
+            cpu_share=self.settings.cpu_share,
+            owned_since_s=tenure.acquired_s,
+            peers=self.worker_paths.relay_peers.others,
+            stored_cpu_share=lambda: self.view.fastest.get(tenure.cell, 0),
+            given_way_count=lambda: self.view.given_way_count(
+                tenure.cell, now_s=boot_s()
+            ),
+            is_store_reachable=lambda: self.store.is_reachable,
+            hand_over=hand_over,
+        )
+
     async def _answer_peer(
         self,
         sender: PeerIdentity,
