Wait longer for a worker that gave no answer, before its runs are given up

Callers had tasks run again that had ended done, where a slow entry owned the cell (TWICE). The owner polled a lost worker with 0.3 s for the connection and 1.0 s in all; busy as it was, each poll was given up just before its answer was read. So it never heard of the end that the worker listed, counted the leases as lapsed and the runs as vanished, and placed them anew.

A poll after one without an answer now waits for 2 s, with 0.6 s for its connection, and runs aren't given up with their leases before two polls in a row got no answer.

--- a/src/marjoramwharf/cells/maintenance.py
+++ b/src/marjoramwharf/cells/maintenance.py
@@ -156,7 +156,7 @@
         lapsed = {
             worker_id
             for worker_id in restored
-            if self.worker_registry.was_never_polled(worker_id)
+            if self.worker_registry.never_answers(worker_id)
             and now_s >= self._lapsed_s(worker_id)
         }
         if not lapsed:
--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -46,6 +46,18 @@
 
 # The answer to a poll may arrive this much after its wait is over.
 _HOLD_TIMEOUT_MARGIN_S = 1.0
+
+# A poll of a worker that gave no answer waits twice as long as the one before,
+# up to this time: the network, or this process, may be what takes so long.
+_LONGEST_PROBE_S = 2.0
+
+# After this many polls in a row without an answer, none is on its way.
+_SILENT_AFTER_COUNT = 2
+
+# Outcomes of a poll that may have been answered too late.
+_UNANSWERED_OUTCOMES = frozenset(
+    (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.NOT_CONNECTED)
+)
 _UNREACHABLE_PAUSE_S = 0.2
 _UNLISTED_PAUSE_S = 1.0
 
@@ -71,7 +83,9 @@
 class WorkerLink:
     """Polls one worker for the owner of its cell, one hold after the other.
 
-    ``is_urgent`` asks for short polls.
+    ``is_urgent`` asks for short polls. An answer of the worker ``may_be_late``
+    while polls that wait for longer haven't been tried. It may tell of ends of
+    runs, so the runs aren't taken for lost before.
     """
 
     worker: Worker
@@ -86,6 +100,8 @@
     _reports: ReportProcessor = field(init=False)
     _reached_address: WorkerAddress | None = None
     _replaced_by: WorkerId | None = None
+    may_be_late: bool = True
+    _unanswered_count: int = 0  # polls in a row
     _poll_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     _reconnect_pauses: Backoff = field(
         default_factory=lambda: Backoff(
@@ -128,6 +144,7 @@
     async def _poll(self, nursery: trio.Nursery) -> None:
         if await run_isolated('worker poll', self._poll_once, nursery):
             return
+        self._judge_silence(OrderOutcome.UNKNOWN)
         self._record_unreachable(OrderOutcome.UNKNOWN)
         await trio.sleep(_UNREACHABLE_PAUSE_S)
 
@@ -139,6 +156,7 @@
         fetched = await self._fetch_report()
         report = fetched.report
         self.polls_count += 1
+        self._judge_silence(report.outcome)
         if report.outcome is OrderOutcome.ACCEPTED:
             self._reports.process(
                 report, sent_s=fetched.sent_s, nursery=nursery
@@ -216,10 +234,22 @@
         report = await self.context.worker_client.hold(
             address,
             self.orders.build_probe(),
-            timeout_s=_HOLD_TIMEOUT_MARGIN_S,
+            timeout_s=min(
+                _HOLD_TIMEOUT_MARGIN_S * 2.0**self._unanswered_count,
+                _LONGEST_PROBE_S,
+            ),
         )
         return _FetchedReport(report, address, sent_s)
 
+    def _judge_silence(self, outcome: OrderOutcome) -> None:
+        """Count the polls without an answer."""
+        is_unanswered = outcome in _UNANSWERED_OUTCOMES
+        self._unanswered_count = (
+            self._unanswered_count + 1 if is_unanswered else 0
+        )
+        is_early = self._unanswered_count < _SILENT_AFTER_COUNT
+        self.may_be_late = is_unanswered and is_early
+
     def interrupt_poll(self) -> None:
         """End a poll of an incarnation that another one has replaced.
 
@@ -289,7 +319,8 @@
                 outcome=outcome.value,
             )
         self.worker.is_reachable = False
-        if is_replaced or self.clock.has_lapsed(now_s=now_s):
+        has_lapsed = self.clock.has_lapsed(now_s=now_s)
+        if is_replaced or (has_lapsed and not self.may_be_late):
             self._drop_runs(is_replaced=is_replaced, now_s=now_s)
 
     def _drop_runs(self, *, is_replaced: bool, now_s: float) -> None:
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -201,10 +201,12 @@
             )
         link.is_urgent = controller.needs_early_poll()
 
-    def was_never_polled(self, worker_id: WorkerId) -> bool:
-        """Whether a worker has never answered a poll by this owner."""
+    def never_answers(self, worker_id: WorkerId) -> bool:
+        """Whether a worker has answered no poll by this owner, and won't."""
         link = self.links.get(worker_id)
-        return link is None or link.clock.reading_ms is None
+        if link is None:
+            return True
+        return link.clock.reading_ms is None and not link.may_be_late
 
     def remove_gone_workers(self, *, now_s: float) -> None:
         """Remove the workers that are neither listed nor answer any more."""
--- a/src/marjoramwharf/links/http_client.py
+++ b/src/marjoramwharf/links/http_client.py
@@ -75,10 +75,12 @@
     """Open a connection, and keep it for the process that answers there.
 
     ``identify`` returns a number of the process that gave a response, ``None``
-    if the response doesn't tell it; the connection is closed then.
+    if the response doesn't tell it; the connection is closed then. Opening it may
+    take ``connect_timeout_s``, or what the client allows if that is longer.
     """
 
     identify: Callable[[ClientResponse], int | None]
+    connect_timeout_s: float = 0
 
 
 # Without a choice, any connection is used that isn't kept for a process.
@@ -231,7 +233,7 @@
     async def _acquire(self, exchange: _Exchange) -> _Connection:
         choice = exchange.choice
         if isinstance(choice, NewConnection):
-            return await self._open(exchange.address)
+            return await self._open(exchange.address, choice.connect_timeout_s)
         process = None if choice is None else choice.process
         connection = await self._take_idle(exchange.address, process)
         if connection is not None:
@@ -263,9 +265,12 @@
         for idle in tuple(self._idle_connections.get(address, {}).values()):
             await _close_all(idle)
 
-    async def _open(self, address: Address) -> _Connection:
+    async def _open(
+        self, address: Address, timeout_s: float = 0
+    ) -> _Connection:
+        """Open a connection, within ``timeout_s`` or longer if usual."""
         try:
-            with trio.fail_after(self.connect_timeout_s):
+            with trio.fail_after(max(timeout_s, self.connect_timeout_s)):
                 stream = await open_stream(*address)
         except (OSError, trio.TooSlowError) as failure:
             raise NotConnected(
--- a/src/marjoramwharf/platform/worker_client.py
+++ b/src/marjoramwharf/platform/worker_client.py
@@ -45,6 +45,10 @@
 _MAX_WORKER_ID_CHARACTERS = 200
 _CONFLICT = 409
 
+# The share of a probe's time after which its worker counts as not reached. It
+# leaves the time for another route.
+_CONNECT_SHARE = 0.3
+
 # A worker lists at most this many ends at a time.
 _MAX_LISTED_ENDS = 500
 
@@ -212,7 +216,9 @@
             expires_ms=order.expires_ms,
             wait_ms=order.wait_ms,
         )
-        choice = _connection_to(worker) or NewConnection(_read_born_ms)
+        choice = _connection_to(worker) or NewConnection(
+            _read_born_ms, timeout_s * _CONNECT_SHARE
+        )
         try:
             answer = await self._send(worker, '/hold', body, timeout_s, choice)
         except StaleConnection:
