Let a connection of a stand-in worker fail alone

Cause: test_faulty_connections failed once in the suite beside a load of 40 (BusyResourceError). A client left in the middle of its request's body while the response was being sent; hypercorn then sends an error on the same stream, and the error of that one connection ended the stand-in worker.

Change: the stand-in closes that connection only. The check of the test is as it was.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -106,6 +106,15 @@
                 client_address,
                 connection,
             )
+            await self._serve_connection(stream)
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        """Answer the requests of a connection; its failures end only itself.
+
+        Hypercorn may send two responses at the same time if the client leaves
+        in the middle of a request.
+        """
+        try:
             await TCPServer(
                 self._app,
                 self._hypercorn,
@@ -113,6 +122,8 @@
                 ConnectionState({}),
                 stream,  # type: ignore[arg-type]
             )
+        except* trio.BusyResourceError:
+            await trio.aclose_forcefully(stream)
 
     async def apply_request_faults(self) -> Response | None:
         """Delay a received request or lose it, and apply a ``hang`` fault."""
