Split the tenures of a cell and the shown state of a job out of two modules

Change: programs/_cell_tenures.py wires the cell of one tenure; job_status.public_state tells what callers are shown. Nothing else changes.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -21,6 +21,7 @@
     FINAL_STATES,
     PublicJobState,
     StatusAnswer,
+    public_state,
 )
 from marjoramwharf.cells.maintenance import Maintenance
 from marjoramwharf.cells.plan_loop import PlanLoop
@@ -42,7 +43,6 @@
 from marjoramwharf.scheduling.interference import InterferenceModel
 from marjoramwharf.scheduling.job_state import (
     Job,
-    JobPhase,
     Run,
     RunEnd,
     RunPhase,
@@ -65,11 +65,6 @@
 
 _MS_PER_S = 1_000
 
-_FINAL_STATES = {
-    JobPhase.DONE: PublicJobState.DONE,
-    JobPhase.FAILED: PublicJobState.FAILED,
-}
-
 
 @dataclass(slots=True, eq=False)
 class Cell:
@@ -227,21 +222,9 @@
         await self._progress_writer.flush()
 
     def status(self, job_id: JobId) -> PublicJobState | None:
-        """Return the state of a job to show to callers, if the job is known.
-
-        A job counts as done or failed only once that is stored.
-        """
+        """Return the state of a job to show to callers, if the job is known."""
         job = self.job_table.jobs.get(job_id)
-        if job is None:
-            return None
-        final = _FINAL_STATES.get(job.stored_phase)
-        if final is not None:
-            return final
-        if job.phase is JobPhase.CANCELLED:
-            return PublicJobState.CANCELLED
-        return (
-            PublicJobState.RUNNING if job.has_begun else PublicJobState.QUEUED
-        )
+        return None if job is None else public_state(job)
 
     def answer_status(self, job_id: JobId) -> StatusAnswer | None:
         """Return the state of a job and whether it may be outdated."""
--- a/src/marjoramwharf/cells/job_status.py
+++ b/src/marjoramwharf/cells/job_status.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass
 
+from marjoramwharf.scheduling.job_state import Job, JobPhase
+
 
 @enum.unique
 class PublicJobState(enum.Enum):
@@ -21,6 +23,11 @@
     (PublicJobState.DONE, PublicJobState.FAILED, PublicJobState.CANCELLED)
 )
 
+_STORED_ENDS = {
+    JobPhase.DONE: PublicJobState.DONE,
+    JobPhase.FAILED: PublicJobState.FAILED,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class StatusAnswer:
@@ -32,3 +39,16 @@
 
     state: PublicJobState
     may_be_outdated: bool
+
+
+def public_state(job: Job) -> PublicJobState:
+    """Return the state of a job to show to callers.
+
+    It counts as done or failed only once that is stored.
+    """
+    end = _STORED_ENDS.get(job.stored_phase)
+    if end is not None:
+        return end
+    if job.phase is JobPhase.CANCELLED:
+        return PublicJobState.CANCELLED
+    return PublicJobState.RUNNING if job.has_begun else PublicJobState.QUEUED
--- a/src/marjoramwharf/programs/platform_entry.py
+++ b/src/marjoramwharf/programs/platform_entry.py
@@ -12,18 +12,15 @@
 
 import trio
 
-from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.cells.cell import Cell
-from marjoramwharf.cells.cell_context import CellContext, CellOwnership
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.entry_directory import EntryDirectory
-from marjoramwharf.cells.former_owner import FormerOwner
 from marjoramwharf.cells.instance_settings import InstanceSettings
 from marjoramwharf.cells.intake import Intake
 from marjoramwharf.cells.owner_link import OwnerLink, answer_job_call
 from marjoramwharf.cells.owner_view import OwnerView
-from marjoramwharf.cells.ownership import Campaign, Tenure
+from marjoramwharf.cells.ownership import Campaign
 from marjoramwharf.cells.records import (
     OWNERS_PREFIX,
     CellId,
@@ -31,16 +28,12 @@
     incarnation_of,
 )
 from marjoramwharf.cells.retention import retention_s
-from marjoramwharf.cells.stronger_entries import StrongerEntries
-from marjoramwharf.cells.tenure_end import (
-    TENURE_END_METHOD,
-    answer_tenure_end,
-    ask_tenure_end,
-)
+from marjoramwharf.cells.tenure_end import TENURE_END_METHOD, answer_tenure_end
+from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.cells.worker_relay import WORKER_METHOD
 from marjoramwharf.errors import BadSettings
 from marjoramwharf.ids import random_id
-from marjoramwharf.isolation import run_isolated, run_restarted
+from marjoramwharf.isolation import run_restarted
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.links.http_server import (
     HttpServer,
@@ -60,14 +53,13 @@
 from marjoramwharf.log_output import BoundedOutput
 from marjoramwharf.logs import configure_logs, part_logger
 from marjoramwharf.platform import settings_file
-from marjoramwharf.platform.advice_client import PlatformAdviceClient
 from marjoramwharf.platform.job_api import JobApi, answer_readiness
 from marjoramwharf.platform.kv_store import KvStore
-from marjoramwharf.platform.worker_listings import (
-    WORKERS_PREFIX,
-    decode_listing,
-)
 from marjoramwharf.programs._cell_metrics import CellMetrics, listen_for_metrics
+from marjoramwharf.programs._cell_tenures import (
+    HOLD_AFTER_EXPIRY_S,
+    CellTenures,
+)
 from marjoramwharf.programs._operator_requests import OperatorRequests
 from marjoramwharf.programs._stop_signals import wait_for_stop
 from marjoramwharf.programs._worker_paths import WorkerPaths
@@ -90,16 +82,6 @@
 # The lease of the owner. Short, since no run starts between two owners.
 _OWNER_TTL_MS = 2_000
 
-# The lease of a run as a share of the longest allowed one, so that the run
-# outlives a change of owner.
-_HOLD_LEASE_SHARE = 0.65
-
-# For how long an owner whose own lease has expired still extends those of runs.
-_HOLD_AFTER_EXPIRY_S = 1.2
-
-# How long an owner that gives way to a faster entry waits for its last writes.
-_HAND_OVER_TIMEOUT_S = 1.0
-
 # How long the watch of the owners waits for a change.
 _OWNERS_WAIT_MS = 2_000
 
@@ -123,7 +105,6 @@
     operators: OperatorRequests = field(default_factory=OperatorRequests)
     output: BoundedOutput | None = None
     counters: CellCounters = field(default_factory=CellCounters)
-    cell: Cell | None = None
     is_stopping: bool = False
     store: RelayedStore = field(init=False)
     relay: StoreRelay = field(init=False)
@@ -131,6 +112,7 @@
     worker_paths: WorkerPaths = field(init=False)
     api_server: HttpServer = field(init=False)
     campaign: Campaign = field(init=False)
+    tenures: CellTenures = field(init=False)
     owner_link: OwnerLink = field(init=False)
 
     def __post_init__(self) -> None:
@@ -180,9 +162,20 @@
             record=record,
             ttl_ms=max(_OWNER_TTL_MS, settings.store_limits.min_ttl_ms),
             cpu_share=settings.cpu_share,
-            run_cell=self.run_cell,
+            run_cell=lambda tenure: self.tenures.run(tenure),
             is_prepared=lambda: self.operators.config.current is not None,
         )
+        self.tenures = CellTenures(
+            settings=settings,
+            identity=self.identity,
+            store=self.store,
+            client=self.client,
+            view=self.view,
+            campaign=self.campaign,
+            operators=self.operators,
+            worker_paths=self.worker_paths,
+            counters=self.counters,
+        )
         intake = Intake(
             self.store,
             _CELL,
@@ -206,7 +199,7 @@
 
     def owned_cell(self) -> Cell | None:
         """Return the cell while this entry owns it."""
-        return self.cell
+        return self.tenures.cell
 
     def is_ready(self) -> bool:
         """Tell whether this entry accepts callers."""
@@ -245,90 +238,6 @@
             nursery.cancel_scope.cancel()
         _LOG.info('stopped', entry=settings.entry_id)
 
-    async def run_cell(self, tenure: Tenure) -> None:
-        """Run the cell as its owner until the tenure ends."""
-        former_owner = FormerOwner(
-            tenure,
-            self.view.succession,
-            self.campaign.ttl_ms / _MS_PER_S + _HOLD_AFTER_EXPIRY_S,
-            _HOLD_AFTER_EXPIRY_S,
-            self.campaign.latest_tenure,
-            partial(ask_tenure_end, self.identity, tenure.cell),
-        )
-        cell = Cell(
-            ownership=CellOwnership(
-                cell=tenure.cell,
-                guard=tenure.guard,
-                is_current=lambda: tenure.is_current(boot_s()),
-                may_extend_leases=lambda: tenure.is_current(
-                    boot_s() - _HOLD_AFTER_EXPIRY_S,
-                ),
-                former_owner_until_s=former_owner.may_extend_until_s,
-                give_up=tenure.scope.cancel,
-                give_way=lambda: self.campaign.give_way(now_s=boot_s()),
-                former_fence=self.view.fence_before(
-                    tenure.cell, tenure.revision
-                ),
-            ),
-            context=CellContext(
-                store=self.store,
-                worker_client=self.worker_paths.begin_tenure(),
-                configuration=lambda: self.operators.config.current,
-                workers_prefix=WORKERS_PREFIX,
-                decode_listing=decode_listing,
-                bounds=self.settings.bounds,
-                hold_ms=round(
-                    self.settings.bounds.max_hold_ms * _HOLD_LEASE_SHARE
-                ),
-                counters=self.counters,
-                advice_client=self._build_advice_client(),
-                evacuated=self.operators.evacuations.data_centres,
-                has_other_entries=self.worker_paths.has_other_entries,
-                is_isolated=self.worker_paths.is_isolated,
-                given_way_count=lambda: self.view.given_way_count(
-                    tenure.cell, now_s=boot_s()
-                ),
-                lapsing_view=self.view.lapsing,
-            ),
-        )
-        self.cell = cell
-        self.counters.tenures_count += 1
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    run_isolated, 'former owner', former_owner.run
-                )
-                nursery.start_soon(
-                    run_isolated,
-                    'stronger entries',
-                    self._stronger_entries(tenure, cell).run,
-                )
-                await cell.run()
-                nursery.cancel_scope.cancel()
-        finally:
-            self.cell = None
-
-    def _stronger_entries(self, tenure: Tenure, cell: Cell) -> StrongerEntries:
-        async def hand_over() -> None:
-            with trio.move_on_after(_HAND_OVER_TIMEOUT_S):
-                await cell.hand_over()
-            self.campaign.give_way(now_s=boot_s())
-
-        return StrongerEntries(
-            store=self.store,
-            cell=tenure.cell,
-            ownership_guard=tenure.guard,
-            cpu_share=self.settings.cpu_share,
-            owned_since_s=tenure.acquired_s,
-            peers=self.worker_paths.relay_peers.others,
-            stored_cpu_share=lambda: self.view.fastest.get(tenure.cell, 0),
-            given_way_count=lambda: self.view.given_way_count(
-                tenure.cell, now_s=boot_s()
-            ),
-            is_store_reachable=lambda: self.store.is_reachable,
-            hand_over=hand_over,
-        )
-
     async def _answer_peer(
         self,
         sender: PeerIdentity,
@@ -345,7 +254,7 @@
         if call.method == TENURE_END_METHOD:
             return answer_tenure_end(
                 self.campaign.latest_tenure,
-                _HOLD_AFTER_EXPIRY_S,
+                HOLD_AFTER_EXPIRY_S,
                 call,
                 now_s=boot_s(),
             )
@@ -354,10 +263,6 @@
     def _direct_store(self, client: HttpClient, timeout_s: float) -> KvStore:
         return KvStore(client, self.settings.store_address, timeout_s=timeout_s)
 
-    def _build_advice_client(self) -> PlatformAdviceClient | None:
-        address = self.settings.advice_address
-        return PlatformAdviceClient(self.client, address) if address else None
-
     async def _follow_owners(self) -> None:
         await PrefixWatcher(
             self.store, OWNERS_PREFIX, self.view.apply, _OWNERS_WAIT_MS
@@ -395,8 +300,9 @@
         grace_s = self.settings.bounds.grace_ms / _MS_PER_S - _STOP_MARGIN_S
         deadline_s = trio.current_time() + grace_s
         with trio.move_on_after(grace_s / 4):
-            if self.cell is not None:
-                await self.cell.hand_over()
+            cell = self.owned_cell()
+            if cell is not None:
+                await cell.hand_over()
         await self.campaign.resign()
         await trio.sleep(min(_READINESS_DELAY_S, grace_s / 2))
         self.api_server.drain()
