Count refused starts in a row before a worker is tried last

What callers would see: a job that ends failed though another worker has room, and tasks far from their data for 20 s.

Cause: one refused start of any kind made a worker the last choice for 20 s, beyond a worker where the task had failed, and the rack of its data.

Evidence: test_refused_or_failed and the three of test_refused_for_the_owner failed before and pass now; test_refusing_workers (a task that goes round workers which refuse it) passes as before.

Change: the second refusal in a row costs as much as one whole worker in use, each further one twice as much; an accepted start, or 20 s, end that. Only refusals that tell of the worker or its path count. Late starts are forbidden, not barred, by name.

--- a/src/marjoramwharf/cells/report_processor.py
+++ b/src/marjoramwharf/cells/report_processor.py
@@ -100,7 +100,7 @@
             log_first_poll(
                 self.worker, report, lease_end_ms=self.clock.lease_end_ms
             )
-            self._bar_late_starts(now_s, nursery)
+            self._forbid_late_starts(now_s, nursery)
         elif self._is_same_incarnation(report, sent_s):
             self.clock.observe(report.clock_ms, now_s=now_s)
         else:
@@ -129,7 +129,7 @@
             for run in self._unlisted_runs(report):
                 if not _may_be_newer(run, sent_s):
                     self._end_or_stop_lost(run, now_s, nursery)
-            self._bar_late_starts(now_s, nursery)
+            self._forbid_late_starts(now_s, nursery)
         self.worker.born_ms = report.born_ms
 
     def _is_same_incarnation(self, report: HoldReport, sent_s: float) -> bool:
@@ -184,7 +184,7 @@
         else:
             self.owner.end_run(run, RunEnd.VANISHED, run.checkpoint)
 
-    def _bar_late_starts(self, now_s: float, nursery: trio.Nursery) -> None:
+    def _forbid_late_starts(self, now_s: float, nursery: trio.Nursery) -> None:
         """Have the worker refuse late orders for runs that have ended.
 
         It has not heard of them if they were at a former incarnation.
@@ -193,7 +193,10 @@
         for run in late_starts.runs_at(self.worker.worker_id, now_s=now_s):
             if self.owner.find_run(*run) is None:
                 nursery.start_soon(
-                    run_isolated, 'stop order', self.orders.bar_late_start, run
+                    run_isolated,
+                    'stop order',
+                    self.orders.forbid_late_start,
+                    run,
                 )
 
     def _process_ends(self, report: HoldReport) -> None:
--- a/src/marjoramwharf/cells/worker_messages.py
+++ b/src/marjoramwharf/cells/worker_messages.py
@@ -41,6 +41,17 @@
     NOT_CONNECTED = 'not_connected'
 
 
+# Outcomes of a start that tell of the worker, or of the path to it.
+WORKER_REFUSALS = frozenset(
+    (
+        OrderOutcome.NO_ROOM,
+        OrderOutcome.BUSY,
+        OrderOutcome.NOT_SENT,
+        OrderOutcome.NOT_CONNECTED,
+    )
+)
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerAddress:
     """Id of a worker, the address at which it listens, and its incarnation.
--- a/src/marjoramwharf/cells/worker_orders.py
+++ b/src/marjoramwharf/cells/worker_orders.py
@@ -15,6 +15,7 @@
 from marjoramwharf.cells.link_log import log_other_clock
 from marjoramwharf.cells.worker_clock import WorkerClock, is_other_clock
 from marjoramwharf.cells.worker_messages import (
+    WORKER_REFUSALS,
     HoldOrder,
     OrderAnswer,
     OrderOutcome,
@@ -43,10 +44,6 @@
 _UNHEALTHY_WORKER_PAUSE_S = 0.5
 _FULL_WORKER_PAUSE_S = 0.1
 
-# A worker that refused a start is chosen after all others for this long, or
-# until it accepts one. Many others may have to be tried meanwhile.
-_AVOIDED_S = 20.0
-
 # Another order may take a connection that was opened for one.
 _CONNECTIONS_PER_ORDER_COUNT = 3
 
@@ -140,7 +137,7 @@
                 break
         self.context.counters.starts[answer.outcome] += 1
         if answer.outcome in _STARTED_OUTCOMES:
-            self.worker.avoided_until_s = 0
+            self.worker.refusals_count = 0
             self.owner.on_run_started(
                 run, started_s=self._answered_s(answer, attempt.sent_s)
             )
@@ -172,7 +169,7 @@
         """Send the stop order of a run that the cell doesn't have, once."""
         await self._send_stop(StopOrder(task, number, self.context.fence))
 
-    async def bar_late_start(self, run: RunKey) -> None:
+    async def forbid_late_start(self, run: RunKey) -> None:
         """Repeat the stop order of a run that has ended, while it may start.
 
         The incarnation that takes it refuses late start orders of the run.
@@ -366,7 +363,8 @@
             outcome=outcome.value,
         )
         now_s = boot_s()
-        self.worker.avoided_until_s = now_s + _AVOIDED_S
+        if outcome in WORKER_REFUSALS:
+            self.worker.record_refusal(now_s=now_s)
         pause_s = _UNHEALTHY_WORKER_PAUSE_S
         if outcome is OrderOutcome.NO_ROOM:
             pause_s = _FULL_WORKER_PAUSE_S
--- a/src/marjoramwharf/scheduling/candidates.py
+++ b/src/marjoramwharf/scheduling/candidates.py
@@ -19,10 +19,11 @@
 _FAILURE_COST = 1.5  # for each recent failure there (decayed)
 _SUSPECT_COST = 3.0  # a run recently hung or was slow there
 
-# For each second for which a worker is still avoided. Two refusals a tenth of a
-# second apart have to outweigh all other costs, or a task goes round the cheap
-# workers that refuse it and never gets to another one.
-_AVOIDED_COST_PER_S = 100.0
+# For the second refused start in a row; doubled with each further one, up to a
+# cost that outweighs all others. Otherwise a task goes round the cheap workers
+# that refuse it and never gets to another one.
+_SECOND_REFUSAL_COST = 1.0
+_MAX_REFUSAL_DOUBLINGS_COUNT = 6
 
 # In a fleet with more workers, a sample of this size is searched first.
 _SAMPLE_SIZE = 512
@@ -114,10 +115,18 @@
 
 def _trouble_cost(worker: Worker, now_s: float) -> float:
     cost = _FAILURE_COST * worker.failure_weight_at(now_s)
-    cost += _AVOIDED_COST_PER_S * max(0, worker.avoided_until_s - now_s)
+    cost += _refusals_cost(worker.refusals_in_a_row(now_s))
     return cost + _SUSPECT_COST if worker.suspect_until_s > now_s else cost
 
 
+def _refusals_cost(refusals_count: int) -> float:
+    """Return the cost of a worker that refused starts in a row."""
+    if refusals_count < 2:
+        return 0
+    doublings_count = min(refusals_count - 2, _MAX_REFUSAL_DOUBLINGS_COUNT)
+    return _SECOND_REFUSAL_COST * 2.0**doublings_count
+
+
 def _is_idle(workers: Iterable[Worker]) -> bool:
     used = 0
     whole = 0
--- a/src/marjoramwharf/scheduling/fleet.py
+++ b/src/marjoramwharf/scheduling/fleet.py
@@ -19,6 +19,10 @@
     from marjoramwharf.scheduling.headroom import ExpectedHeadroom
 
 # Factor by which the weight of an outcome of a run decays in one second.
+# Refused starts count for this long after the latest one. Many other workers
+# may have to be tried meanwhile.
+_REFUSALS_KEPT_S = 20.0
+
 _OUTCOME_DECAY_PER_S = 0.85
 
 # A worker gets no new runs while its failure weight is above this weight and
@@ -88,9 +92,8 @@
     ``is_reachable`` tells whether the latest poll of the worker was answered,
     ``reported_at_s`` when its latest report was made, and ``born_ms`` which
     incarnation answered (0: none yet). No run is placed there before
-    ``blocked_until_s``, and preferably none before ``suspect_until_s``. One that
-    has refused a start is the last choice before ``avoided_until_s``, and the
-    later that is, the later it is chosen, so that each of several is tried.
+    ``blocked_until_s``, and preferably none before ``suspect_until_s``. It has
+    refused ``refusals_count`` starts in a row, the latest at ``refused_at_s``.
     ``failure_weight`` and ``success_weight`` are the numbers of runs that
     failed and that were done there, decayed over time. A draining worker may
     be gone from ``leaves_at_s`` on. While the worker ``is_filling_paused``, its
@@ -113,7 +116,8 @@
     born_ms: int = 0
     blocked_until_s: float = 0
     suspect_until_s: float = 0
-    avoided_until_s: float = 0
+    refusals_count: int = 0
+    refused_at_s: float = 0
     failure_weight: float = 0
     success_weight: float = 0
     outcome_recorded_at_s: float = 0
@@ -210,6 +214,16 @@
             self.listing_revision = revision
             self.listed_at_s = now_s
 
+    def record_refusal(self, *, now_s: float) -> None:
+        """Count a refused start; one of long ago doesn't count any more."""
+        self.refusals_count = self.refusals_in_a_row(now_s) + 1
+        self.refused_at_s = now_s
+
+    def refusals_in_a_row(self, now_s: float) -> int:
+        """Return how many starts in a row were refused here lately."""
+        is_recent = now_s - self.refused_at_s < _REFUSALS_KEPT_S
+        return self.refusals_count if is_recent else 0
+
     def block_until(self, until_s: float) -> None:
         """Place no run here before a time, nor earlier than before."""
         self.blocked_until_s = max(self.blocked_until_s, until_s)
--- a/tests/scheduling/test_refused_or_failed.py
+++ b/tests/scheduling/test_refused_or_failed.py
@@ -19,7 +19,6 @@
     start_run,
 )
 
-_AVOIDED_S = 20.0
 _RUN_S = 1.0
 _MAX_ATTEMPTS = QUEUE.max_attempts
 
@@ -31,7 +30,7 @@
         """Guards against all attempts at the worker that fails them."""
         job_table = JobTable()
         failing, other = make_worker('x'), make_worker('y')
-        other.avoided_until_s = _AVOIDED_S  # one start was refused at 0 s
+        other.record_refusal(now_s=0)
         fleet = make_fleet(failing, other)
         job = add_job(job_table, 'j', make_step())
         task = first_task(job)
