Don't double the time of polls without an answer

What callers would see: a worker that refuses connections for some minutes is never used again.

Cause: the time of a poll was doubled with each one without an answer; after 1,024 the power overflowed, and each poll failed by that.

Evidence: test_long_silence (240 s simulated) failed before and passes now.

Change: the first poll has 1 s, each after one without an answer 2 s, which is what the doubling came to at its limit.

--- a/src/marjoramwharf/cells/worker_link.py
+++ b/src/marjoramwharf/cells/worker_link.py
@@ -48,11 +48,11 @@
 # The answer to a poll may arrive this much after its wait is over.
 _HOLD_TIMEOUT_MARGIN_S = 1.0
 
-# A poll of a worker that gave no answer waits twice as long as the one before,
-# up to this time: the network, or this process, may be what takes so long.
-_LONGEST_PROBE_S = 2.0
+# A poll after one without an answer waits for longer: the network, or this
+# process, may be what takes so long.
+_REPEATED_PROBE_S = 2.0
 
-# After this many polls in a row without an answer, none is on its way.
+# After this many polls in a row without an answer, the worker counts as silent.
 _SILENT_AFTER_COUNT = 2
 
 # Outcomes of a poll that may have been answered too late.
@@ -249,9 +249,10 @@
         report = await self.context.worker_client.hold(
             address,
             self.orders.build_probe(),
-            timeout_s=min(
-                _HOLD_TIMEOUT_MARGIN_S * 2.0**self._unanswered_count,
-                _LONGEST_PROBE_S,
+            timeout_s=(
+                _REPEATED_PROBE_S
+                if self._unanswered_count
+                else _HOLD_TIMEOUT_MARGIN_S
             ),
         )
         return _FetchedReport(report, address, sent_s)
