Keep the former position of the list until all workers are checked

What callers would see: a job that starts at a worker which has said that it drains, after two changes of the owner.

Cause: an owner stored how far it had followed the list while its check of a worker wasn't done, or its roster wasn't written, so that the next owner asked the store for too little.

Change: the position is stored only when no check is pending and the roster is written. A listing that can't be decoded ends the check, as the watch shows it only once it can be.

--- a/src/marjoramwharf/cells/cell.py
+++ b/src/marjoramwharf/cells/cell.py
@@ -130,7 +130,7 @@
             context,
             ownership,
             self._model,
-            self.worker_registry.listings,
+            self.worker_registry,
             lambda: self._workers_watcher.revision,
         )
         self._ticket_cache = TicketCache(
--- a/src/marjoramwharf/cells/list_position.py
+++ b/src/marjoramwharf/cells/list_position.py
@@ -40,13 +40,16 @@
     """Stores from time to time what ``current_revision`` returns.
 
     That is the revision up to which this owner knows all changes of the list,
-    0 while it doesn't know any.
+    0 while it doesn't know any. While it isn't ``is_complete``, as workers are
+    still to be checked or to be stored, the position of the former owner stays:
+    the next one has to read from there.
     """
 
     store: PollingStore
     cell: CellId
     ownership_guard: Guard
     current_revision: Callable[[], int]
+    is_complete: Callable[[], bool]
     _stored_revision: int = 0
 
     async def load(self) -> int:
@@ -72,7 +75,7 @@
         while True:
             await trio.sleep(_PERIOD_S)
             revision = self.current_revision()
-            if revision > self._stored_revision:
+            if revision > self._stored_revision and self.is_complete():
                 await self._write(revision)
 
     async def _write(self, revision: int) -> None:
--- a/src/marjoramwharf/cells/succession.py
+++ b/src/marjoramwharf/cells/succession.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -11,9 +11,9 @@
 from marjoramwharf.cells.lapsing_workers import LapsingWorkers
 from marjoramwharf.cells.list_position import ListPosition
 from marjoramwharf.cells.model_saver import ModelSaver
+from marjoramwharf.cells.worker_registry import WorkerRegistry
 from marjoramwharf.cells.worker_roster import KnownWorkers, WorkerRoster
 from marjoramwharf.isolation import run_restarted
-from marjoramwharf.scheduling.fleet import WorkerListing
 from marjoramwharf.scheduling.interference import InterferenceModel
 
 
@@ -48,10 +48,19 @@
     context: CellContext,
     ownership: CellOwnership,
     model: InterferenceModel,
-    known_listings: Callable[[], Iterable[WorkerListing]],
+    registry: WorkerRegistry,
     list_revision: Callable[[], int],
 ) -> Succession:
-    """Create the records of one tenure."""
+    """Create the records of one tenure.
+
+    ``list_revision`` returns how far the list of workers has been followed.
+    """
+    roster = WorkerRoster(
+        store=context.store,
+        cell=ownership.cell,
+        ownership_guard=ownership.guard,
+        known_listings=registry.listings,
+    )
     return Succession(
         LapsingWorkers(
             store=context.store,
@@ -60,14 +69,13 @@
             view=context.lapsing_view,
             former_fence=ownership.former_fence,
         ),
-        WorkerRoster(
+        roster,
+        ListPosition(
             store=context.store,
             cell=ownership.cell,
             ownership_guard=ownership.guard,
-            known_listings=known_listings,
-        ),
-        ListPosition(
-            context.store, ownership.cell, ownership.guard, list_revision
+            current_revision=list_revision,
+            is_complete=lambda: roster.is_stored and not registry.has_unchecked,
         ),
         ModelSaver(context.store, ownership.cell, ownership.guard, model),
     )
--- a/src/marjoramwharf/cells/unlisted_checks.py
+++ b/src/marjoramwharf/cells/unlisted_checks.py
@@ -108,11 +108,9 @@
         await trio.sleep(LISTING_WAIT_S)
         while is_unlisted():
             history = await self._ask(worker, after_revision)
-            if history is None or history.is_listed:
+            if history is None or not self._record(worker, history):
                 await trio.sleep(_REPEAT_S)
                 continue
-            if is_unlisted():
-                self._record(worker, history)
             return
 
     async def _ask(
@@ -133,13 +131,22 @@
                 )
                 return None
 
-    def _record(self, worker: Worker, history: ListingHistory) -> None:
-        """Let a worker that isn't listed get runs, unless it has left."""
-        worker.listing = listing_from_history(worker, history, self.decode)
+    def _record(self, worker: Worker, history: ListingHistory) -> bool:
+        """Record what the store tells; return whether that settles it.
+
+        A worker that isn't listed may get runs, unless it has left. The watch
+        doesn't show a listing that can't be decoded.
+        """
+        listing = listing_from_history(worker, history, self.decode)
+        is_unreadable = listing.state is WorkerState.UNREADABLE
+        if worker.is_listed or (history.is_listed and not is_unreadable):
+            return worker.is_listed
+        worker.listing = listing
         worker.blocked_until_s = 0
         _LOG.info(
             'unlisted worker checked',
             worker=worker.worker_id,
-            state=worker.listing.state.value,
+            state=listing.state.value,
             was_listed=history.latest is not None,
         )
+        return True
--- a/src/marjoramwharf/cells/worker_registry.py
+++ b/src/marjoramwharf/cells/worker_registry.py
@@ -71,6 +71,7 @@
     )
     _learners: dict[WorkerId, InterferenceLearner] = field(default_factory=dict)
     _nursery: trio.Nursery | None = None
+    _unchecked_count: int = 0
     _restorable: KnownWorkers = KnownWorkers()
     # Live runs by worker, while new workers are added.
     _placed_runs: dict[WorkerId, list[Run]] | None = None
@@ -136,17 +137,27 @@
                 partial(self._check, worker, list_revision),
             )
 
+    @property
+    def has_unchecked(self) -> bool:
+        """Whether the store is still to be asked about some worker."""
+        return bool(self._unchecked_count)
+
     async def _check(self, worker: Worker, list_revision: int) -> None:
-        await self.checks.run(
-            worker,
-            list_revision,
-            is_unlisted=lambda: (
-                worker.worker_id in self.fleet.workers and not worker.is_listed
-            ),
-        )
+        self._unchecked_count += 1
+        try:
+            await self.checks.run(
+                worker, list_revision, is_unlisted=lambda: self._lacks(worker)
+            )
+        finally:
+            self._unchecked_count -= 1
         self.on_worker_changed(worker.worker_id)
         self.on_change()
 
+    def _lacks(self, worker: Worker) -> bool:
+        """Whether a worker is tracked, and the list doesn't show it."""
+        is_tracked = worker.worker_id in self.fleet.workers
+        return is_tracked and not worker.is_listed
+
     def adopt(
         self,
         former: Worker,
--- a/src/marjoramwharf/cells/worker_roster.py
+++ b/src/marjoramwharf/cells/worker_roster.py
@@ -121,6 +121,11 @@
             while self._changed and not await self._write_changed():
                 await trio.sleep(_RETRY_PAUSE_S)
 
+    @property
+    def is_stored(self) -> bool:
+        """Whether all changes so far are in the store."""
+        return not self._changed
+
     def mark_changed(self, worker_id: WorkerId) -> None:
         """Store the part of a worker that has come, changed or gone."""
         self._changed.add(_part_of(worker_id))
