--- a/src/marjoramwharf/cells/intake.py
+++ b/src/marjoramwharf/cells/intake.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.cells.clocks import boot_s, wall_ms
 from marjoramwharf.cells.counters import CellCounters
 from marjoramwharf.cells.instance_settings import Bounds
@@ -33,6 +32,7 @@
 from marjoramwharf.cells.retention import retention_s
 from marjoramwharf.cells.store_retries import StoreRetries
 from marjoramwharf.cells.submission_outcome import SubmissionOutcome
+from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.cells.unknown_jobs import UnknownJobs
 from marjoramwharf.errors import Failure, JournalDamaged
 from marjoramwharf.ids import JobId
--- a/src/marjoramwharf/cells/job_canceller.py
+++ b/src/marjoramwharf/cells/job_canceller.py
@@ -13,10 +13,10 @@
 
 import trio
 
-from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.cells.clocks import boot_s
 from marjoramwharf.cells.records import CellId, cancel_key, request_key
 from marjoramwharf.cells.store_retries import StoreRetries
+from marjoramwharf.cells.tombstones import TombstoneLimit
 from marjoramwharf.errors import (
     Failure,
     JobChanged,
--- a/src/marjoramwharf/platform/job_api.py
+++ b/src/marjoramwharf/platform/job_api.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import re
-from math import ceil
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import ceil
 
 import trio
 
--- a/tests/links/test_prefix_watcher.py
+++ b/tests/links/test_prefix_watcher.py
@@ -11,7 +11,6 @@
 from marjoramwharf.links.store import WatchBatch, Write
 from standins.polling_store import PollingMemoryStore
 
-
 # Changes in one answer, and changes a second. With a pause of a quarter of a
 # second after each answer, there would be more than are read.
 _LIMIT_COUNT = 200
--- a/tests/links/test_relay_peers.py
+++ b/tests/links/test_relay_peers.py
@@ -14,8 +14,8 @@
 from marjoramwharf.ids import DataCentreId, EntryId, Incarnation
 from marjoramwharf.links.http_server import open_listener
 from marjoramwharf.links.peer_messages import PeerIdentity
-from marjoramwharf.links.relay_peers import PeerAddress, RelayPeers
 from marjoramwharf.links.peer_server import PeerServer
+from marjoramwharf.links.relay_peers import PeerAddress, RelayPeers
 
 _SECRET = 'a-secret-of-16-bytes'
 _PEERS_COUNT = 3
--- a/tests/links/test_relayed_store.py
+++ b/tests/links/test_relayed_store.py
@@ -24,8 +24,8 @@
 from marjoramwharf.ids import DataCentreId, EntryId, Incarnation, LeaseId
 from marjoramwharf.links.http_server import open_listener
 from marjoramwharf.links.peer_messages import Message, PeerIdentity
-from marjoramwharf.links.relay_peers import PeerAddress
 from marjoramwharf.links.peer_server import PeerServer
+from marjoramwharf.links.relay_peers import PeerAddress
 from marjoramwharf.links.relayed_store import RelayedStore
 from marjoramwharf.links.store import Committed, Guard, Write
 from marjoramwharf.links.store_calls import (
--- a/tests/programs/test_cell_metrics.py
+++ b/tests/programs/test_cell_metrics.py
@@ -10,11 +10,11 @@
 import trio
 
 from marjoramwharf.cells.counters import CellCounters
+from marjoramwharf.ids import WorkerId
 from marjoramwharf.links.http_client import HttpClient
 from marjoramwharf.links.http_server import HttpRequest
 from marjoramwharf.programs._cell_metrics import CellMetrics
 from tests.cells.candidate import Candidate
-from marjoramwharf.ids import WorkerId
 from tests.cells.cluster import (
     job_request,
     open_cluster,
